--- a/src/core/errorkind.cpp
+++ b/src/core/errorkind.cpp
@@ -63,6 +63,8 @@
          true, seconds{2}, "the platform's log did not answer"},
         {ErrorKind::RecordUnreadable, "record_unreadable", 500, RunState::No,
          false, seconds{0}, "a record of the log can't be decoded"},
+        {ErrorKind::RecordsExpired, "records_expired", 410, RunState::No, false,
+         seconds{0}, "the records asked for are no longer kept"},
     }};
 
 } // namespace
--- a/src/core/errorkind.h
+++ b/src/core/errorkind.h
@@ -37,6 +37,7 @@
   VersionLost,
   LogUnavailable,
   RecordUnreadable,
+  RecordsExpired,
   Count
 };
 
--- /dev/null
+++ b/src/core/httpmessage.cpp
@@ -0,0 +1,128 @@
+#include "core/httpmessage.h"
+
+#include "core/text.h"
+
+#include "absl/strings/str_cat.h"
+#include "absl/strings/str_split.h"
+#include "absl/strings/strip.h"
+
+#include <algorithm>
+#include <array>
+
+namespace monsoon {
+
+namespace {
+
+constexpr std::array<std::string_view, 9> HopByHopNames = {
+    "Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate",
+    "TE",         "Trailer",    "Transfer-Encoding", "Upgrade",
+    "Content-Length"};
+
+void appendFields(std::string &Text, const HttpFields &Fields) {
+  for (const HttpField &Each : Fields.all())
+    absl::StrAppend(&Text, Each.m_Name, ": ", Each.m_Value, "\r\n");
+}
+
+} // namespace
+
+void HttpFields::add(std::string_view Name, std::string_view Value) {
+  m_Fields.push_back({std::string(Name), std::string(Value)});
+}
+
+void HttpFields::remove(std::string_view Name) {
+  m_Fields.erase(std::remove_if(m_Fields.begin(), m_Fields.end(),
+                                [Name](const HttpField &Each) {
+                                  return equalsIgnoreCase(Each.m_Name,
+                                                                Name);
+                                }),
+                 m_Fields.end());
+}
+
+void HttpFields::removeHopByHop() {
+  std::vector<std::string> Named;
+  for (const HttpField &Each : m_Fields)
+    if (equalsIgnoreCase(Each.m_Name, "Connection"))
+      for (absl::string_view Part : absl::StrSplit(Each.m_Value, ','))
+        Named.emplace_back(absl::StripAsciiWhitespace(Part));
+  for (const std::string &Name : Named)
+    remove(Name);
+  for (std::string_view Name : HopByHopNames)
+    remove(Name);
+}
+
+const std::string *HttpFields::find(std::string_view Name) const {
+  for (const HttpField &Each : m_Fields)
+    if (equalsIgnoreCase(Each.m_Name, Name))
+      return &Each.m_Value;
+  return nullptr;
+}
+
+size_t HttpFields::count(std::string_view Name) const {
+  return static_cast<size_t>(std::count_if(
+      m_Fields.begin(), m_Fields.end(), [Name](const HttpField &Each) {
+        return equalsIgnoreCase(Each.m_Name, Name);
+      }));
+}
+
+std::string_view HttpRequest::path() const {
+  const std::string_view Whole = m_Target;
+  return Whole.substr(0, Whole.find('?'));
+}
+
+std::string writeRequestHead(const HttpRequest &Request) {
+  std::string Text =
+      absl::StrCat(Request.m_Method, " ", Request.m_Target, " HTTP/1.1\r\n");
+  appendFields(Text, Request.m_Fields);
+  if (Request.m_HasBody)
+    absl::StrAppend(&Text, "Content-Length: ", Request.m_Body.size(), "\r\n");
+  absl::StrAppend(&Text, "\r\n");
+  return Text;
+}
+
+std::string writeAnswerHead(const HttpAnswer &Answer, bool Close) {
+  std::string Text = absl::StrCat("HTTP/1.1 ", Answer.m_Status, " ",
+                                  toAbsl(reasonPhrase(Answer.m_Status)), "\r\n");
+  appendFields(Text, Answer.m_Fields);
+  // These two never have a body, and a length would contradict that.
+  if (Answer.m_Status != 204 && Answer.m_Status != 304)
+    absl::StrAppend(&Text, "Content-Length: ", Answer.m_Body.size(), "\r\n");
+  if (Close)
+    absl::StrAppend(&Text, "Connection: close\r\n");
+  absl::StrAppend(&Text, "\r\n");
+  return Text;
+}
+
+std::string_view reasonPhrase(int Status) {
+  switch (Status) {
+  case 200:
+    return "OK";
+  case 204:
+    return "No Content";
+  case 400:
+    return "Bad Request";
+  case 404:
+    return "Not Found";
+  case 408:
+    return "Request Timeout";
+  case 413:
+    return "Content Too Large";
+  case 421:
+    return "Misdirected Request";
+  case 429:
+    return "Too Many Requests";
+  case 431:
+    return "Request Header Fields Too Large";
+  case 500:
+    return "Internal Server Error";
+  case 502:
+    return "Bad Gateway";
+  case 503:
+    return "Service Unavailable";
+  case 504:
+    return "Gateway Timeout";
+  default:
+    return "Status";
+  }
+}
+
+} // namespace monsoon
--- a/src/core/tables.cpp
+++ b/src/core/tables.cpp
@@ -36,9 +36,12 @@
 }
 
 bool Route::accepts(std::string_view Method, std::string_view Path) const {
-  return std::find(m_Methods.begin(), m_Methods.end(), Method) !=
-             m_Methods.end() &&
-         m_Path->matches(Path);
+  const bool MethodFits =
+      std::any_of(m_Methods.begin(), m_Methods.end(),
+                  [Method](const std::string &Each) {
+                    return Each == Method || Each == AnyMethod;
+                  });
+  return MethodFits && m_Path->matches(Path);
 }
 
 Route::Builder::Builder(std::string Name, PathTemplate Path, std::string Pool) {
@@ -83,6 +86,31 @@
   return *this;
 }
 
+Route::Builder &Route::Builder::host(std::string Value) {
+  m_Route.m_Host = std::move(Value);
+  return *this;
+}
+
+Route::Builder &Route::Builder::split(std::vector<PoolWeight> Value) {
+  m_Route.m_Split = std::move(Value);
+  return *this;
+}
+
+Route::Builder &Route::Builder::maxAttempts(int Value) {
+  m_Route.m_MaxAttempts = Value;
+  return *this;
+}
+
+Route::Builder &Route::Builder::latencyObjective(Milliseconds Value) {
+  m_Route.m_LatencyObjective = Value;
+  return *this;
+}
+
+Route::Builder &Route::Builder::priority(int Value) {
+  m_Route.m_Priority = Value;
+  return *this;
+}
+
 bool Pool::isDomainOut(std::string_view Domain) const {
   return std::find(m_DomainsOut.begin(), m_DomainsOut.end(), Domain) !=
          m_DomainsOut.end();
@@ -127,6 +155,11 @@
   return *this;
 }
 
+Pool::Builder &Pool::Builder::healthPath(std::string Value) {
+  m_Pool.m_HealthPath = std::move(Value);
+  return *this;
+}
+
 Tables::Tables(std::vector<Route> Routes, std::vector<Pool> Pools)
     : m_Routes(std::move(Routes)), m_Pools(std::move(Pools)) {}
 
--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -13,6 +13,9 @@
 
 namespace monsoon {
 
+/// Stands in a route's methods for every method.
+inline constexpr std::string_view AnyMethod = "*";
+
 /// What kind of work a route carries. Under overload the first kinds are
 /// refused first.
 enum class TrafficClass { Download, Lookup, Order, Confirmation };
@@ -33,6 +36,16 @@
   }
 };
 
+/// A pool's part of the requests of a route.
+struct PoolWeight {
+  std::string m_Pool;
+  uint32_t m_Weight = 0;
+
+  friend bool operator==(const PoolWeight &A, const PoolWeight &B) {
+    return std::tie(A.m_Pool, A.m_Weight) == std::tie(B.m_Pool, B.m_Weight);
+  }
+};
+
 /// Says which requests go to which pool, and how they are to be treated.
 class Route {
 public:
@@ -50,13 +63,24 @@
   bool isStreamed() const { return m_Streamed; }
   Milliseconds deadline() const { return m_Deadline; }
   const std::string &pool() const { return m_Pool; }
+  /// Host that requests have to name; empty when any host will do.
+  const std::string &host() const { return m_Host; }
+  /// Pools among which requests are divided; empty when all go to pool().
+  const std::vector<PoolWeight> &split() const { return m_Split; }
+  /// Targets to which one request may be sent, the first one included.
+  int maxAttempts() const { return m_MaxAttempts; }
+  /// Time within which an answer is fully useful to the caller.
+  Milliseconds latencyObjective() const { return m_LatencyObjective; }
+  /// Rank under overload; 0 is served first.
+  int priority() const { return m_Priority; }
 
   bool accepts(std::string_view Method, std::string_view Path) const;
 
   auto tie() const {
     return std::tie(m_Name, m_Methods, m_Path->text(), m_Key, m_Class,
                     m_TenantHeader, m_Idempotent, m_Streamed, m_Deadline,
-                    m_Pool);
+                    m_Pool, m_Host, m_Split, m_MaxAttempts, m_LatencyObjective,
+                    m_Priority);
   }
 
   friend bool operator==(const Route &A, const Route &B) {
@@ -76,6 +100,11 @@
   bool m_Streamed = false;
   Milliseconds m_Deadline{1000};
   std::string m_Pool;
+  std::string m_Host;
+  std::vector<PoolWeight> m_Split;
+  int m_MaxAttempts = 2;
+  Milliseconds m_LatencyObjective{1000};
+  int m_Priority = 0;
 };
 
 /// Builds a Route.
@@ -89,6 +118,11 @@
   Builder &idempotent(bool Value);
   Builder &streamed(bool Value);
   Builder &deadline(Milliseconds Value);
+  Builder &host(std::string Value);
+  Builder &split(std::vector<PoolWeight> Value);
+  Builder &maxAttempts(int Value);
+  Builder &latencyObjective(Milliseconds Value);
+  Builder &priority(int Value);
   Route build() const { return m_Route; }
 
 private:
@@ -127,10 +161,13 @@
   int m_QueuePerSlot = 2;
   /// Hedged attempts allowed, in percent of idempotent requests.
   int m_HedgePercent = 0;
+  /// Requests a second that a cold target bears, over all hosts; zero when
+  /// the pool states none.
+  double m_WarmRate = 0;
 
   auto tie() const {
     return std::tie(m_ColdLimit, m_WarmStep, m_RetryPercent, m_QueuePerSlot,
-                    m_HedgePercent);
+                    m_HedgePercent, m_WarmRate);
   }
   friend bool operator==(const PoolPolicy &A, const PoolPolicy &B) {
     return A.tie() == B.tie();
@@ -153,13 +190,15 @@
   /// Failure domains that operators have taken out.
   const std::vector<std::string> &domainsOut() const { return m_DomainsOut; }
   const PoolPolicy &policy() const { return m_Policy; }
+  /// Path that tells whether a target is healthy.
+  const std::string &healthPath() const { return m_HealthPath; }
 
   bool isDomainOut(std::string_view Domain) const;
   const Target *findTarget(std::string_view Name) const;
 
   auto tie() const {
     return std::tie(m_Name, m_OwnedByKey, m_ChecksFences, m_Ranges, m_Targets,
-                    m_DomainsOut, m_Policy);
+                    m_DomainsOut, m_Policy, m_HealthPath);
   }
 
   friend bool operator==(const Pool &A, const Pool &B) {
@@ -176,6 +215,7 @@
   std::vector<Target> m_Targets;
   std::vector<std::string> m_DomainsOut;
   PoolPolicy m_Policy;
+  std::string m_HealthPath = "/health";
 };
 
 /// Builds a Pool.
@@ -188,6 +228,7 @@
   Builder &addTarget(Target Value);
   Builder &domainsOut(std::vector<std::string> Value);
   Builder &policy(PoolPolicy Value);
+  Builder &healthPath(std::string Value);
   Pool build() const { return m_Pool; }
 
 private:
--- a/src/core/text.cpp
+++ b/src/core/text.cpp
@@ -5,9 +5,7 @@
 namespace monsoon {
 
 bool equalsIgnoreCase(std::string_view A, std::string_view B) {
-  // Debian builds Abseil with a string_view of its own.
-  return absl::EqualsIgnoreCase(absl::string_view(A.data(), A.size()),
-                                absl::string_view(B.data(), B.size()));
+  return absl::EqualsIgnoreCase(toAbsl(A), toAbsl(B));
 }
 
 } // namespace monsoon
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -1,10 +1,21 @@
 #ifndef MONSOON_CORE_TEXT_H
 #define MONSOON_CORE_TEXT_H
 
+#include "absl/strings/string_view.h"
+
 #include <string_view>
 
 namespace monsoon {
 
+/// Debian builds Abseil with a string_view of its own.
+inline absl::string_view toAbsl(std::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
+inline std::string_view toStd(absl::string_view Text) {
+  return {Text.data(), Text.size()};
+}
+
 /// Compares two ASCII texts without regard to case.
 bool equalsIgnoreCase(std::string_view A, std::string_view B);
 
--- a/src/engine/configfollower.cpp
+++ b/src/engine/configfollower.cpp
@@ -5,7 +5,7 @@
 namespace monsoon {
 
 ConfigFollower::ConfigFollower(ConfigStream &Stream, Router &Routes,
-                               Clock &Time, Milliseconds SnapshotInterval,
+                               WaitingClock &Time, Milliseconds SnapshotInterval,
                                int Rank)
     : m_Stream(Stream), m_Routes(Routes), m_Time(Time),
       m_SnapshotPause(SnapshotInterval + SnapshotInterval / 5 * Rank),
--- a/src/engine/configfollower.h
+++ b/src/engine/configfollower.h
@@ -26,7 +26,7 @@
 public:
   /// A snapshot is written when the newest one is older than the interval; of
   /// several hosts, those with a higher rank wait longer.
-  ConfigFollower(ConfigStream &Stream, Router &Routes, Clock &Time,
+  ConfigFollower(ConfigStream &Stream, Router &Routes, WaitingClock &Time,
                  Milliseconds SnapshotInterval, int Rank);
 
   /// Reads what is new. Call it from one thread.
@@ -39,7 +39,7 @@
 
   ConfigStream &m_Stream;
   Router &m_Routes;
-  Clock &m_Time;
+  WaitingClock &m_Time;
   const Milliseconds m_SnapshotPause;
   ConfigReplay m_Replay;
   std::optional<uint64_t> m_KnownSnapshot;
--- a/src/engine/entryhost.h
+++ b/src/engine/entryhost.h
@@ -26,7 +26,7 @@
   TargetService &m_Targets;
   PeerService &m_Peers;
   MetricsSink &m_Metrics;
-  Clock &m_Time;
+  WaitingClock &m_Time;
 };
 
 /// A report on the whole entry host, for operators.
--- a/src/engine/ownershiploop.h
+++ b/src/engine/ownershiploop.h
@@ -28,7 +28,7 @@
   OwnershipStreams &m_Streams;
   GrantService &m_Grants;
   PeerService &m_Peers;
-  Clock &m_Time;
+  WaitingClock &m_Time;
 };
 
 /// Runs the nodes of all groups: drives their time, carries their messages and
--- a/src/engine/publisher.h
+++ b/src/engine/publisher.h
@@ -26,7 +26,7 @@
 /// is lost, that it doesn't.
 class Publisher {
 public:
-  Publisher(ConfigStream &Stream, Clock &Time)
+  Publisher(ConfigStream &Stream, WaitingClock &Time)
       : m_Stream(Stream), m_Time(Time) {}
 
   /// Reads the configuration in force.
@@ -41,7 +41,7 @@
   Outcome<std::optional<Verdict>> readUntilEnd(const std::string &Id);
 
   ConfigStream &m_Stream;
-  Clock &m_Time;
+  WaitingClock &m_Time;
   ConfigReplay m_Replay;
 };
 
--- a/src/engine/requestpath.cpp
+++ b/src/engine/requestpath.cpp
@@ -61,7 +61,7 @@
 }
 
 RequestPath::RequestPath(std::string HostName, Router &Routes, Admission &Gate,
-                         TargetService &Targets, Clock &Time,
+                         TargetService &Targets, WaitingClock &Time,
                          MetricsSink &Metrics)
     : m_HostName(std::move(HostName)), m_Routes(Routes), m_Gate(Gate),
       m_Targets(Targets), m_Time(Time), m_Metrics(Metrics) {}
--- a/src/engine/requestpath.h
+++ b/src/engine/requestpath.h
@@ -31,7 +31,7 @@
 class RequestPath {
 public:
   RequestPath(std::string HostName, Router &Routes, Admission &Gate,
-              TargetService &Targets, Clock &Time, MetricsSink &Metrics);
+              TargetService &Targets, WaitingClock &Time, MetricsSink &Metrics);
 
   /// Serves one request. Streamed routes write to the sink.
   Answer handle(const CallerRequest &Request, AnswerSink *Sink);
@@ -52,7 +52,7 @@
   Router &m_Routes;
   Admission &m_Gate;
   TargetService &m_Targets;
-  Clock &m_Time;
+  WaitingClock &m_Time;
   MetricsSink &m_Metrics;
   std::atomic<uint64_t> m_Counter{0};
   std::atomic<bool> m_Refusing{false};
--- a/src/engine/requestrun.cpp
+++ b/src/engine/requestrun.cpp
@@ -57,7 +57,7 @@
 
 } // namespace
 
-RequestRun::RequestRun(RequestPath &Path, TargetService &Targets, Clock &Time,
+RequestRun::RequestRun(RequestPath &Path, TargetService &Targets, WaitingClock &Time,
                        const RoutingTable &Table, const Route &Matched,
                        const CallerRequest &Request, TimePoint Deadline,
                        AnswerSink *Sink)
--- a/src/engine/requestrun.h
+++ b/src/engine/requestrun.h
@@ -14,7 +14,7 @@
 /// again only after a failure that proves that it did not run.
 class RequestRun {
 public:
-  RequestRun(RequestPath &Path, TargetService &Targets, Clock &Time,
+  RequestRun(RequestPath &Path, TargetService &Targets, WaitingClock &Time,
              const RoutingTable &Table, const Route &Matched,
              const CallerRequest &Request, TimePoint Deadline,
              AnswerSink *Sink);
@@ -44,7 +44,7 @@
 
   RequestPath &m_Path;
   TargetService &m_Targets;
-  Clock &m_Time;
+  WaitingClock &m_Time;
   const Route &m_Route;
   const Pool &m_Pool;
   const CallerRequest &m_Request;
--- /dev/null
+++ b/src/entry/exchange.cpp
@@ -0,0 +1,155 @@
+#include "entry/exchange.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoon {
+
+namespace {
+
+/// The caller gets the last word this long before it stops waiting, so that it
+/// is still there to hear it.
+constexpr Milliseconds AnswerMargin{15};
+
+TimePoint deadlineOf(TimePoint Now, const RequestFacts &Facts,
+                     const Route &Path) {
+  Milliseconds Length = Path.deadline();
+  if (Facts.m_TimeLeft)
+    Length = std::min(Length, *Facts.m_TimeLeft - AnswerMargin);
+  return Now + Length;
+}
+
+} // namespace
+
+Exchange::Exchange(boost::asio::io_context &Loop, const Clock &Time,
+                   const Dialect &Words, RouteIndexPtr Routes,
+                   const Route &Path, std::string Pool, HttpRequest Request,
+                   RequestFacts Facts, RequestHandler::Reply Reply)
+    : m_Timer(Loop), m_Clock(Time), m_Dialect(Words),
+      m_Routes(std::move(Routes)), m_Route(Path), m_Pool(std::move(Pool)),
+      m_Request(std::move(Request)), m_Facts(std::move(Facts)),
+      m_Reply(std::move(Reply)), m_Arrived(Time.now()),
+      m_Deadline(deadlineOf(m_Arrived, m_Facts, Path)) {
+  m_Request.m_Fields.removeHopByHop();
+  m_Request.m_Fields.remove("Expect");
+}
+
+void Exchange::startTimer() { armTimer(); }
+
+Milliseconds Exchange::timeLeft() const {
+  return std::chrono::duration_cast<Milliseconds>(m_Deadline - m_Clock.now());
+}
+
+bool Exchange::wasTriedAt(const std::string &TargetId) const {
+  return std::find(m_Tried.begin(), m_Tried.end(), TargetId) != m_Tried.end();
+}
+
+void Exchange::send(const TargetNodePtr &Target, Milliseconds SlowAfter) {
+  HttpRequest Forwarded;
+  Forwarded.m_Method = m_Request.m_Method;
+  Forwarded.m_Target = m_Request.m_Target;
+  Forwarded.m_Fields = m_Request.m_Fields;
+  Forwarded.m_HasBody = m_Request.m_HasBody;
+  m_Dialect.prepare(Forwarded.m_Fields, Target->info(), timeLeft());
+  if (!m_Body)
+    m_Body = std::make_shared<const std::string>(std::move(m_Request.m_Body));
+  if (Forwarded.m_HasBody)
+    Forwarded.m_Fields.add("Content-Length", std::to_string(m_Body->size()));
+  Forwarded.m_HasBody = false;
+
+  m_SentAt = m_Clock.now();
+  m_SlowAt = SlowAfter.count() > 0 ? m_SentAt + SlowAfter : TimePoint{};
+  m_Target = Target;
+  m_Tried.push_back(Target->info().m_Id);
+  ++m_Sends;
+  Target->load().noteSent(m_SentAt);
+  Target->pace().noteSent(m_SentAt);
+  m_Link = Target->links().take();
+  m_Link->send(writeRequestHead(Forwarded), m_Body, m_Facts.m_Id,
+               m_Request.m_Method != "HEAD", Milliseconds(0),
+               [Self = shared_from_this(), Target](LinkResult Result,
+                                                   HttpAnswer Answer) {
+                 Self->linkDone(Target, Result, std::move(Answer));
+               });
+  armTimer();
+}
+
+void Exchange::linkDone(const TargetNodePtr &Target, LinkResult Result,
+                        HttpAnswer Answer) {
+  m_Link = nullptr;
+  m_SlowAt = {};
+  AttemptOutcome Outcome;
+  Outcome.m_Result = Result;
+  Outcome.m_Elapsed = m_Clock.now() - m_SentAt;
+  if (Result == LinkResult::Answered)
+    Outcome.m_Facts = m_Dialect.readAnswer(Answer);
+  Outcome.m_Answer = std::move(Answer);
+  if (Result == LinkResult::NotSent || Result == LinkResult::Refused) {
+    --m_Sends;
+    ++m_Unreachable;
+  } else if (Result != LinkResult::Answered ||
+             !(Outcome.m_Facts.m_NotExecuted || Outcome.m_Facts.m_WrongTarget)) {
+    m_MayHaveRun = true;
+  }
+  m_Owner->attemptDone(shared_from_this(), Target, std::move(Outcome));
+}
+
+void Exchange::abandonSend() {
+  if (!m_Link)
+    return;
+  // A link that is still connecting has carried nothing.
+  m_MayHaveRun = true;
+  m_Link->close();
+  m_Link = nullptr;
+  m_SlowAt = {};
+}
+
+void Exchange::answer(HttpAnswer Answer, const char *Reason) {
+  if (!m_Reply)
+    return;
+  m_Timer.cancel();
+  const auto Self = shared_from_this();
+  m_Owner->finished(*this, Answer.m_Status, Reason);
+  std::exchange(m_Reply, nullptr)(std::move(Answer));
+}
+
+void Exchange::cancel() {
+  if (!m_Reply)
+    return;
+  const auto Self = shared_from_this();
+  m_Reply = nullptr;
+  m_Timer.cancel();
+  m_Owner->callerGone(Self);
+}
+
+void Exchange::armTimer() {
+  TimePoint Next = m_Deadline;
+  if (m_SlowAt != TimePoint{})
+    Next = std::min(Next, m_SlowAt);
+  m_Timer.expires_after(
+      std::max<Duration>(Next - m_Clock.now(), Duration::zero()));
+  m_Timer.async_wait([Weak = weak_from_this()](
+                         const boost::system::error_code &Error) {
+    const auto Self = Weak.lock();
+    if (!Error && Self)
+      Self->timerFired();
+  });
+}
+
+void Exchange::timerFired() {
+  if (!m_Reply)
+    return;
+  const TimePoint Now = m_Clock.now();
+  if (Now >= m_Deadline) {
+    m_Owner->timeOver(shared_from_this());
+    return;
+  }
+  if (m_SlowAt != TimePoint{} && Now >= m_SlowAt) {
+    m_SlowAt = {};
+    m_Owner->attemptSlow(shared_from_this());
+  }
+  if (m_Reply)
+    armTimer();
+}
+
+} // namespace monsoon
--- /dev/null
+++ b/src/entry/keeperset.h
@@ -0,0 +1,55 @@
+#ifndef MONSOON_ENTRY_KEEPERSET_H
+#define MONSOON_ENTRY_KEEPERSET_H
+
+#include "core/routeindex.h"
+#include "entry/targetregistry.h"
+#include "keyowner/rangekeeper.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace monsoon {
+
+/// The keepers of all pools whose targets own keys.
+class KeeperSet {
+public:
+  /// Time that one request takes in a pool, as this host measures it.
+  using UsualTimeOf = std::function<Duration(const std::string &Pool)>;
+
+  KeeperSet(std::string Host, KeeperTimes Times, RangeKeeper::Parts Ports,
+            const TargetRegistry &Targets);
+
+  /// Called when the owners of some pool changed.
+  void onChange(std::function<void()> Callback) {
+    m_Changed = std::move(Callback);
+  }
+
+  /// Starts and ends keepers as the tables ask for.
+  void setRoutes(const RouteIndex &Routes);
+  /// The membership or the domains that are out changed.
+  void targetsChanged(const TargetMap &Known);
+  void tick();
+  void resign();
+
+  RangeKeeper *find(const std::string &Pool) const;
+  /// True once the owners of every pool are known.
+  bool areOwnersKnown() const;
+  bool holdsAny() const;
+
+private:
+  void pass(RangeKeeper &Keeper) const;
+
+  const std::string m_Host;
+  const KeeperTimes m_Times;
+  const RangeKeeper::Parts m_Ports;
+  const TargetRegistry &m_Targets;
+  std::function<void()> m_Changed;
+  TargetMap m_Known;
+  std::map<std::string, std::unique_ptr<RangeKeeper>> m_Keepers;
+};
+
+} // namespace monsoon
+
+#endif
--- /dev/null
+++ b/src/entry/targetregistry.cpp
@@ -0,0 +1,83 @@
+#include "entry/targetregistry.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <utility>
+
+namespace monsoon {
+
+TargetRegistry::TargetRegistry(const Clock &Time, LinkMaker Links, EventSink &Events)
+    : m_Clock(Time), m_MakeLinks(std::move(Links)), m_Events(Events) {}
+
+void TargetRegistry::setTargets(const TargetMap &Targets) {
+  const TimePoint Now = m_Clock.now();
+  for (auto It = m_Nodes.begin(); It != m_Nodes.end();) {
+    if (Targets.count(It->first) > 0) {
+      ++It;
+      continue;
+    }
+    m_Events.event(Severity::Info, "target_gone",
+                   {{"target", It->first}, {"pool", It->second->info().m_Pool}});
+    It = m_Nodes.erase(It);
+  }
+  for (const auto &[Id, Info] : Targets) {
+    TargetNodePtr &Node = m_Nodes[Id];
+    if (Node && Node->info().isSameLife(Info)) {
+      if (Info.m_Draining && !Node->info().m_Draining)
+        m_Events.event(Severity::Info, "target_draining",
+                       {{"target", Id}, {"pool", Info.m_Pool}});
+      Node->update(Info, Now);
+      continue;
+    }
+    Node = std::make_shared<TargetNode>(Info, Now, m_MakeLinks(Info.m_Address));
+    m_Events.event(Severity::Info, "target_joined",
+                   {{"target", Id},
+                    {"pool", Info.m_Pool},
+                    {"warmup_ms", absl::StrCat(Info.m_WarmupLeft.count())}});
+  }
+}
+
+void TargetRegistry::setDomainOut(const std::string &Domain, bool Out) {
+  const bool WasOut = isDomainOut(Domain);
+  if (Out == WasOut)
+    return;
+  m_Events.event(Severity::Info, Out ? "domain_out" : "domain_back",
+                 {{"domain", Domain}});
+  if (Out) {
+    m_DomainsOut.insert(Domain);
+    return;
+  }
+  m_DomainsOut.erase(Domain);
+  for (const auto &[Id, Node] : m_Nodes)
+    if (Node->info().m_FailureDomain == Domain)
+      Node->doubtWarmth();
+}
+
+void TargetRegistry::setDomainsOut(const std::set<std::string> &Domains) {
+  const std::set<std::string> Before = m_DomainsOut;
+  for (const std::string &Each : Before)
+    if (Domains.count(Each) == 0)
+      setDomainOut(Each, false);
+  for (const std::string &Each : Domains)
+    setDomainOut(Each, true);
+}
+
+TargetNodePtr TargetRegistry::find(const std::string &Id) const {
+  const auto It = m_Nodes.find(Id);
+  return It == m_Nodes.end() ? nullptr : It->second;
+}
+
+std::vector<TargetNodePtr> TargetRegistry::ofPool(const std::string &Pool) const {
+  std::vector<TargetNodePtr> Result;
+  for (const auto &[Id, Node] : m_Nodes)
+    if (Node->info().m_Pool == Pool)
+      Result.push_back(Node);
+  return Result;
+}
+
+bool TargetRegistry::isUsable(const TargetNode &Node) const {
+  return !Node.info().m_Draining && !Node.isWarmthDoubted() &&
+         !isDomainOut(Node.info().m_FailureDomain);
+}
+
+} // namespace monsoon
--- /dev/null
+++ b/src/keyowner/keyload.cpp
@@ -0,0 +1,36 @@
+#include "keyowner/keyload.h"
+
+namespace monsoon {
+
+namespace {
+
+/// What is left of the load of a second ago.
+constexpr float KeptPerSecond = 0.75F;
+/// Below this a key counts as unused.
+constexpr float Negligible = 0.01F;
+
+} // namespace
+
+KeyLoad::KeyLoad() : m_ByKey(KeyCount, 0.0F) {}
+
+void KeyLoad::note(uint32_t Key) {
+  m_ByKey[Key] += 1;
+  m_Total += 1;
+}
+
+void KeyLoad::fade() {
+  m_Total = 0;
+  for (float &Each : m_ByKey) {
+    Each = Each < Negligible ? 0 : Each * KeptPerSecond;
+    m_Total += Each;
+  }
+}
+
+double KeyLoad::of(const KeyRange &Keys) const {
+  double Sum = 0;
+  for (uint32_t Key = Keys.m_First; Key <= Keys.m_Last; ++Key)
+    Sum += m_ByKey[Key];
+  return Sum;
+}
+
+} // namespace monsoon
--- /dev/null
+++ b/src/keyowner/rangekeeper.cpp
@@ -0,0 +1,614 @@
+#include "keyowner/rangekeeper.h"
+
+#include "core/keyspace.h"
+#include "keyowner/keytablecodec.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoon {
+
+namespace {
+
+/// How long a read of the topic waits for records.
+constexpr Milliseconds ReadWait{1000};
+/// A host whose last read is older does not try to take over.
+constexpr Milliseconds StaleRead{2500};
+/// Targets' clocks may measure a hold this much too long.
+constexpr double SlowClock = 1.03;
+/// Covers the way of an order and the grain of timers.
+constexpr Milliseconds HoldMargin{300};
+/// Spread of the hosts' takeovers, so that mostly one tries.
+constexpr Milliseconds TakeoverSpread{400};
+/// A holder whose last renewal is older fears for the log.
+constexpr Milliseconds LogTrouble{900};
+/// Pause before an order is sent again.
+constexpr Milliseconds OrderPause{120};
+/// An unanswered release is sent again after this time.
+constexpr Milliseconds ReleasePause{700};
+/// An owner that could not be reached for this long loses its keys.
+constexpr Milliseconds UnreachableLimit{1500};
+constexpr int UnreachableOrders = 3;
+constexpr Milliseconds PlanPause{250};
+/// Moves under way at the same time.
+constexpr size_t MaxMoves = 64;
+/// A host that can't reach most owners leaves the lease to others this long.
+constexpr Milliseconds UnfitPause{4000};
+
+} // namespace
+
+RangeKeeper::RangeKeeper(std::string Host, std::string Pool, std::string Topic,
+                         KeeperTimes Times, Parts Ports)
+    : m_Host(std::move(Host)), m_Pool(std::move(Pool)),
+      m_Topic(std::move(Topic)), m_Times(Times), m_Ports(Ports),
+      m_Follower({m_Topic, ReadWait, Milliseconds(0)}, Ports.m_Log,
+                 Ports.m_Clock, [this](const KeyedPage &Page, bool Whole) {
+                   // The records of a whole read come by key.
+                   if (Whole)
+                     m_Folded = 0;
+                   fold(Page);
+                 }),
+      m_LeaseSeen(Ports.m_Clock.now()) {}
+
+void RangeKeeper::log(Severity Level, const char *Name,
+                      EventSink::Details Fields) {
+  Fields.emplace_back("pool", m_Pool);
+  Fields.emplace_back("term", absl::StrCat(m_Lease.m_Term));
+  m_Ports.m_Events.event(Level, Name, Fields);
+}
+
+void RangeKeeper::resync() {
+  if (m_Resyncing)
+    return;
+  m_Resyncing = true;
+  m_Ports.m_Log.read(
+      m_Topic, m_Follower.end(), Milliseconds(0),
+      [this, Alive = std::weak_ptr<bool>(m_Alive)](
+          const Outcome<KeyedPage> &Page) {
+        if (Alive.expired())
+          return;
+        m_Resyncing = false;
+        m_ResyncDue = !Page;
+        if (!Page)
+          return;
+        fold(Page.value());
+        m_Follower.skipTo(Page.value().m_End);
+      });
+}
+
+void RangeKeeper::fold(const KeyedPage &Page) {
+  for (const KeyedRecord &Each : Page.m_Records)
+    if (Each.m_Offset >= m_Folded)
+      foldRecord(Each);
+  m_Folded = std::max(m_Folded, Page.m_End);
+  if (!m_Table)
+    m_Table = std::make_shared<KeyTable>();
+}
+
+void RangeKeeper::foldRecord(const KeyedRecord &Record) {
+  if (!Record.m_Value)
+    return;
+  if (Record.m_Key == LeaseRecordKey) {
+    const auto Lease = decodeLease(*Record.m_Value);
+    if (!Lease) {
+      log(Severity::Error, "lease_unreadable",
+          {{"detail", Lease.error().m_Message}});
+      return;
+    }
+    const bool NewHolder = !(Lease.value() == m_Lease);
+    m_Lease = Lease.value();
+    m_LeaseSeen = m_Ports.m_Clock.now();
+    if (m_Holding && m_Lease.m_Holder != m_Host)
+      stepDown("another host holds the lease");
+    if (NewHolder)
+      log(Severity::Info, "lease_holder", {{"holder", m_Lease.m_Holder}});
+    return;
+  }
+  if (Record.m_Key != TableRecordKey)
+    return;
+  auto Table = decodeKeyTable(*Record.m_Value);
+  if (!Table) {
+    log(Severity::Error, "key_table_unreadable",
+        {{"detail", Table.error().m_Message}});
+    return;
+  }
+  adopt(std::make_shared<KeyTable>(std::move(Table).value()));
+}
+
+void RangeKeeper::adopt(KeyTablePtr Table) {
+  const KeyTablePtr Before = std::exchange(m_Table, std::move(Table));
+  std::map<uint64_t, GrantState> Grants;
+  for (const OwnedRange &Each : m_Table->ranges()) {
+    GrantState &State = Grants[Each.m_Fence];
+    const auto Known = m_Grants.find(Each.m_Fence);
+    if (Known != m_Grants.end()) {
+      State = Known->second;
+      continue;
+    }
+    if (!Before)
+      continue;
+    // What was cut off from a range that stays with its owner.
+    for (const OwnedRange &Old : Before->ranges()) {
+      const auto OldState = m_Grants.find(Old.m_Fence);
+      if (OldState == m_Grants.end() || Old.m_Owner != Each.m_Owner ||
+          Old.m_Incarnation != Each.m_Incarnation ||
+          !Old.m_Keys.contains(Each.m_Keys.m_First))
+        continue;
+      State.m_HoldEnd = OldState->second.m_HoldEnd;
+      State.m_UnansweredUntil = OldState->second.m_UnansweredUntil;
+      State.m_LastAccepted = OldState->second.m_LastAccepted;
+    }
+  }
+  m_Grants = std::move(Grants);
+  if (m_Changed)
+    m_Changed();
+}
+
+void RangeKeeper::tick() {
+  const TimePoint Now = m_Ports.m_Clock.now();
+  if (Now >= m_NextFade) {
+    m_Load.fade();
+    m_NextFade = Now + std::chrono::seconds(1);
+  }
+  m_Follower.tick();
+  if (!m_Follower.isSynced())
+    return;
+  if (m_ResyncDue)
+    resync();
+  if (!m_Holding) {
+    considerTakeover(Now);
+    return;
+  }
+  renewLease(Now);
+  if (Now >= m_AuthorityEnd)
+    return;
+  if (m_Table->ranges().empty()) {
+    assignFirst(Now);
+    return;
+  }
+  advanceMoves(Now);
+  planMoves(Now);
+  renewGrants(Now);
+  resignIfCutOff(Now);
+}
+
+void RangeKeeper::considerTakeover(TimePoint Now) {
+  if (m_AppendPending || m_Resyncing || m_Usable.empty() ||
+      Now < m_NoTakeoverUntil)
+    return;
+  const auto Spread = Milliseconds(
+      mixHash(stableHash(m_Host), stableHash(m_Pool) + m_Lease.m_Term) %
+      static_cast<uint64_t>(TakeoverSpread.count()));
+  // A resigned lease and a first one need no waiting for a former holder.
+  const Duration Silence =
+      m_Lease.m_Holder.empty() ? Duration(Spread) : m_Times.m_Lease + Spread;
+  if (Now - m_LeaseSeen < Silence + HoldMargin)
+    return;
+  // Silence counts only while the log was read.
+  if (Now - m_Follower.lastRead() > StaleRead)
+    return;
+  takeOver(Now);
+}
+
+void RangeKeeper::takeOver(TimePoint Now) {
+  const OwnerLease Lease{m_Host, m_Lease.m_Term + 1};
+  const auto Table = std::make_shared<KeyTable>(
+      KeyTable::Builder(*m_Table).renewFences().build());
+  append({{LeaseRecordKey, encodeLease(Lease)},
+          {TableRecordKey, encodeKeyTable(*Table)}},
+         [this, Lease, Table, Now]() {
+           m_Lease = Lease;
+           m_Holding = true;
+           m_LastRenewal = Now;
+           m_AuthorityEnd = Now + m_Times.m_Lease;
+           m_NextRenewal = Now + m_Times.m_LeaseRenewal;
+           m_TookOver = m_Ports.m_Clock.now();
+           m_Moves.clear();
+           m_Grants.clear();
+           adopt(Table);
+           // The former holder may have granted up to now, for the longest
+           // time.
+           for (auto &[Fence, State] : m_Grants)
+             State.m_HoldEnd = m_TookOver + m_Ports.m_Grants.grantTimeout() +
+                               holdBound(m_Times.m_LongestHold);
+           log(Severity::Info, "lease_taken",
+               {{"ranges", absl::StrCat(m_Table->ranges().size())}});
+           tick();
+         });
+}
+
+void RangeKeeper::stepDown(const char *Why) {
+  m_Holding = false;
+  m_Moves.clear();
+  log(Severity::Warning, "lease_lost", {{"reason", Why}});
+}
+
+void RangeKeeper::resign() {
+  if (!m_Holding || m_AppendPending || m_Resyncing)
+    return;
+  append({{LeaseRecordKey, encodeLease({"", m_Lease.m_Term})}}, []() {});
+  stepDown("resigned");
+}
+
+void RangeKeeper::append(std::vector<KeyedRecord> Records,
+                         std::function<void()> Accepted) {
+  m_AppendPending = true;
+  m_Ports.m_Log.append(
+      m_Topic, Records, m_Follower.end(),
+      [this, Alive = std::weak_ptr<bool>(m_Alive),
+       Accepted = std::move(Accepted)](const Outcome<LogOffset> &End) {
+        if (Alive.expired())
+          return;
+        m_AppendPending = false;
+        if (End) {
+          // The condition of the append has ruled out that anything else came
+          // in between.
+          m_Folded = std::max(m_Folded, End.value());
+          m_Follower.skipTo(End.value());
+          m_LeaseSeen = m_Ports.m_Clock.now();
+          Accepted();
+          return;
+        }
+        // Whether it was appended, and what came before it, is read.
+        resync();
+      });
+}
+
+void RangeKeeper::renewLease(TimePoint Now) {
+  if (Now < m_NextRenewal || m_AppendPending || m_Resyncing)
+    return;
+  m_NextRenewal = Now + m_Times.m_LeaseRenewal;
+  append({{LeaseRecordKey, encodeLease(m_Lease)}},
+         [this, Now, Term = m_Lease.m_Term]() {
+           if (!m_Holding || m_Lease.m_Term != Term)
+             return;
+           m_LastRenewal = Now;
+           m_AuthorityEnd = Now + m_Times.m_Lease;
+         });
+}
+
+void RangeKeeper::assignFirst(TimePoint Now) {
+  if (m_AppendPending || m_Resyncing || m_Usable.empty() ||
+      Now - m_UsableSince < m_Times.m_Settling)
+    return;
+  KeyTable::Builder Next(*m_Table);
+  for (const PlannedMove &Each : RangePlanner::initial(m_Usable))
+    Next.assign(Each.m_Keys, Each.m_To, m_Known.at(Each.m_To).m_Incarnation);
+  const auto Table = std::make_shared<KeyTable>(Next.build());
+  append({{TableRecordKey, encodeKeyTable(*Table)}}, [this, Table]() {
+    adopt(Table);
+    log(Severity::Info, "keys_assigned_first",
+        {{"ranges", absl::StrCat(m_Table->ranges().size())}});
+    tick();
+  });
+}
+
+const TargetInfo *RangeKeeper::lifeOf(const OwnedRange &Range) const {
+  const auto It = m_Known.find(Range.m_Owner);
+  if (It == m_Known.end() || It->second.m_Incarnation != Range.m_Incarnation)
+    return nullptr;
+  return &It->second;
+}
+
+bool RangeKeeper::isMoving(uint64_t Fence) const {
+  return std::any_of(
+      m_Moves.begin(), m_Moves.end(),
+      [Fence](const Move &Each) { return Each.m_Fence == Fence; });
+}
+
+bool RangeKeeper::isReleasing(uint64_t Fence) const {
+  return std::any_of(m_Moves.begin(), m_Moves.end(), [Fence](const Move &Each) {
+    return Each.m_Fence == Fence && Each.m_Step != MoveStep::Waiting;
+  });
+}
+
+Milliseconds RangeKeeper::holdBound(Milliseconds Hold) const {
+  return std::chrono::duration_cast<Milliseconds>(Hold * SlowClock) +
+         HoldMargin;
+}
+
+bool RangeKeeper::isOrphaned(const OwnedRange &Range, TimePoint Now) const {
+  const TargetInfo *Life = lifeOf(Range);
+  if (!Life || m_Usable.count(Range.m_Owner) == 0)
+    return true;
+  const auto State = m_Grants.find(Range.m_Fence);
+  return State != m_Grants.end() &&
+         State->second.m_UnreachableInRow >= UnreachableOrders &&
+         Now - std::max(State->second.m_LastAccepted, m_TookOver) >
+             UnreachableLimit;
+}
+
+void RangeKeeper::planMoves(TimePoint Now) {
+  if (Now < m_NextPlan || m_AppendPending || m_Usable.empty() ||
+      m_Moves.size() >= MaxMoves)
+    return;
+  m_NextPlan = Now + PlanPause;
+  PlanInput Input;
+  Input.m_Table = m_Table.get();
+  Input.m_Load = &m_Load;
+  Input.m_CrowdedLoad = m_CrowdedLoad;
+  Input.m_Capacity = m_Usable;
+  for (const Move &Each : m_Moves)
+    Input.m_Moving[Each.m_Fence] = Each.m_Plan.m_To;
+  for (const OwnedRange &Each : m_Table->ranges()) {
+    if (!isOrphaned(Each, Now))
+      continue;
+    Input.m_Orphaned.insert(Each.m_Fence);
+    // An owner that does not answer gets no further keys either.
+    if (lifeOf(Each))
+      Input.m_Capacity.erase(Each.m_Owner);
+  }
+  const std::vector<PlannedMove> Plan = RangePlanner::plan(Input);
+  // A range of which only a part moves is divided first, so that the rest is
+  // renewed while the part is released.
+  KeyTable::Builder Divided(*m_Table);
+  bool Any = false;
+  for (const PlannedMove &Each : Plan) {
+    const OwnedRange *Range = m_Table->find(Each.m_Keys.m_First);
+    if (!Range || Range->m_Keys == Each.m_Keys)
+      continue;
+    Divided.assign(Each.m_Keys, Range->m_Owner, Range->m_Incarnation);
+    Any = true;
+  }
+  if (!Any) {
+    startMoves(Plan, Now);
+    return;
+  }
+  if (m_Resyncing)
+    return;
+  const auto Table = std::make_shared<KeyTable>(Divided.build());
+  append({{TableRecordKey, encodeKeyTable(*Table)}},
+         [this, Table, Plan, Now]() {
+           adopt(Table);
+           startMoves(Plan, Now);
+         });
+}
+
+void RangeKeeper::startMoves(const std::vector<PlannedMove> &Plan,
+                             TimePoint Now) {
+  for (const PlannedMove &Each : Plan) {
+    const OwnedRange *Range = m_Table->find(Each.m_Keys.m_First);
+    if (!Range || Range->m_Keys != Each.m_Keys || isMoving(Range->m_Fence))
+      continue;
+    Move Started;
+    Started.m_Plan = Each;
+    Started.m_Fence = Range->m_Fence;
+    Started.m_Started = Now;
+    log(Severity::Info, "move_planned",
+        {{"first", absl::StrCat(Each.m_Keys.m_First)},
+         {"last", absl::StrCat(Each.m_Keys.m_Last)},
+         {"from", Each.m_From},
+         {"to", Each.m_To}});
+    m_Moves.push_back(std::move(Started));
+  }
+}
+
+void RangeKeeper::advanceMoves(TimePoint Now) {
+  for (auto It = m_Moves.begin(); It != m_Moves.end();) {
+    // A target that went away meanwhile gets nothing; the plan is made anew.
+    const bool Useless = It->m_Step != MoveStep::Recording &&
+                         (m_Usable.count(It->m_Plan.m_To) == 0 ||
+                          m_Grants.count(It->m_Fence) == 0);
+    if (Useless || !advanceRelease(*It, Now))
+      It = m_Moves.erase(It);
+    else
+      ++It;
+  }
+  recordMoves();
+}
+
+bool RangeKeeper::advanceRelease(Move &Each, TimePoint Now) {
+  if (Each.m_Step == MoveStep::Freed || Each.m_Step == MoveStep::Recording)
+    return true;
+  const OwnedRange *Range = m_Table->find(Each.m_Plan.m_Keys.m_First);
+  if (!Range || Range->m_Fence != Each.m_Fence)
+    return false;
+  const TargetInfo *From = lifeOf(*Range);
+  const bool LifeOver =
+      !From && m_Known.count(Range->m_Owner) > 0 &&
+      m_Known.at(Range->m_Owner).m_Incarnation != Range->m_Incarnation;
+  GrantState &State = m_Grants[Each.m_Fence];
+  if (LifeOver || Now >= State.m_HoldEnd) {
+    Each.m_Step = MoveStep::Freed;
+    return true;
+  }
+  // Only an owner that has accepted a grant of this holder refuses the late
+  // ones of former holders, so that its release is final.
+  if (!From || !State.m_Accepted || State.m_InFlight ||
+      Now < State.m_UnansweredUntil)
+    return true;
+  Each.m_Step = MoveStep::Releasing;
+  if (Each.m_ReleaseInFlight || Now < Each.m_NextRelease)
+    return true;
+  Each.m_ReleaseInFlight = true;
+  Each.m_NextRelease = Now + ReleasePause;
+  m_Ports.m_Grants.release(
+      *From, Each.m_Plan.m_Keys, Each.m_Fence,
+      [this, Alive = std::weak_ptr<bool>(m_Alive), Keys = Each.m_Plan.m_Keys,
+       Fence = Each.m_Fence](OrderResult Result, const std::string &Handover) {
+        if (Alive.expired())
+          return;
+        for (Move &Waiting : m_Moves) {
+          if (Waiting.m_Fence != Fence || Waiting.m_Plan.m_Keys != Keys)
+            continue;
+          Waiting.m_ReleaseInFlight = false;
+          if (Result != OrderResult::Accepted ||
+              Waiting.m_Step != MoveStep::Releasing)
+            continue;
+          Waiting.m_Step = MoveStep::Freed;
+          Waiting.m_Handover = Handover;
+        }
+        if (Result == OrderResult::Accepted)
+          tick();
+      });
+  return true;
+}
+
+void RangeKeeper::recordMoves() {
+  if (m_AppendPending || m_Resyncing)
+    return;
+  KeyTable::Builder Next(*m_Table);
+  bool Any = false;
+  for (Move &Each : m_Moves) {
+    if (Each.m_Step == MoveStep::Recording)
+      Each.m_Step = MoveStep::Freed; // The last record was lost.
+    if (Each.m_Step != MoveStep::Freed || m_Known.count(Each.m_Plan.m_To) == 0)
+      continue;
+    Next.assign(Each.m_Plan.m_Keys, Each.m_Plan.m_To,
+                m_Known.at(Each.m_Plan.m_To).m_Incarnation);
+    Each.m_Step = MoveStep::Recording;
+    Any = true;
+  }
+  if (!Any)
+    return;
+  const auto Table = std::make_shared<KeyTable>(Next.build());
+  append({{TableRecordKey, encodeKeyTable(*Table)}}, [this, Table]() {
+    adopt(Table);
+    for (const Move &Each : m_Moves) {
+      if (Each.m_Step != MoveStep::Recording)
+        continue;
+      const OwnedRange *Range = m_Table->find(Each.m_Plan.m_Keys.m_First);
+      if (Range && Range->m_Owner == Each.m_Plan.m_To)
+        m_Grants[Range->m_Fence].m_Handover = Each.m_Handover;
+      log(Severity::Info, "move_recorded",
+          {{"first", absl::StrCat(Each.m_Plan.m_Keys.m_First)},
+           {"last", absl::StrCat(Each.m_Plan.m_Keys.m_Last)},
+           {"from", Each.m_Plan.m_From},
+           {"to", Each.m_Plan.m_To},
+           {"handover", Each.m_Handover.empty() ? "no" : "yes"}});
+    }
+    m_Moves.erase(std::remove_if(m_Moves.begin(), m_Moves.end(),
+                                 [](const Move &Each) {
+                                   return Each.m_Step == MoveStep::Recording;
+                                 }),
+                  m_Moves.end());
+    renewGrants(m_Ports.m_Clock.now());
+  });
+}
+
+void RangeKeeper::renewGrants(TimePoint Now) {
+  if (!m_Holding || Now >= m_AuthorityEnd)
+    return;
+  for (const OwnedRange &Each : m_Table->ranges()) {
+    GrantState &State = m_Grants[Each.m_Fence];
+    if (State.m_InFlight || Now < State.m_NextGrant ||
+        isReleasing(Each.m_Fence))
+      continue;
+    const TargetInfo *Owner = lifeOf(Each);
+    if (!Owner)
+      continue;
+    // Once an owner has refused earlier fences, one that is to lose its keys
+    // needs no further time.
+    if (State.m_Accepted && isOrphaned(Each, Now) && isMoving(Each.m_Fence))
+      continue;
+    sendGrant(Each, *Owner, Now);
+  }
+}
+
+void RangeKeeper::sendGrant(const OwnedRange &Range, const TargetInfo &To,
+                            TimePoint Now) {
+  GrantState &State = m_Grants[Range.m_Fence];
+  State.m_InFlight = true;
+  State.m_NextGrant = Now + m_Times.m_GrantRenewal;
+  GrantOrder Order;
+  Order.m_Keys = Range.m_Keys;
+  Order.m_Fence = Range.m_Fence;
+  Order.m_Hold = Now - m_LastRenewal > LogTrouble ? m_Times.m_LongestHold
+                                                  : m_Times.m_Hold;
+  Order.m_Handover = State.m_Handover;
+  // Noted before it is sent, in case the answer never comes.
+  const TimePoint Arrived = Now + m_Ports.m_Grants.grantTimeout();
+  State.m_HoldEndBefore = State.m_HoldEnd;
+  State.m_HoldEnd =
+      std::max(State.m_HoldEnd, Arrived + holdBound(Order.m_Hold));
+  m_Ports.m_Grants.grant(
+      To, Order,
+      [this, Alive = std::weak_ptr<bool>(m_Alive), Fence = Range.m_Fence,
+       Term = m_Lease.m_Term, Now, Hold = Order.m_Hold](OrderResult Result) {
+        if (!Alive.expired())
+          grantDone(Fence, Term, Now, Hold, Result);
+      });
+}
+
+void RangeKeeper::grantDone(uint64_t Fence, uint64_t Term, TimePoint Sent,
+                            Milliseconds Hold, OrderResult Result) {
+  const auto Found = m_Grants.find(Fence);
+  if (Found == m_Grants.end())
+    return;
+  const TimePoint Now = m_Ports.m_Clock.now();
+  GrantState &State = Found->second;
+  State.m_InFlight = false;
+  switch (Result) {
+  case OrderResult::Accepted:
+    if (!State.m_Accepted)
+      log(Severity::Debug, "grant_accepted", {{"fence", absl::StrCat(Fence)}});
+    State.m_Accepted = m_Holding && m_Lease.m_Term == Term;
+    State.m_LastAccepted = Now;
+    State.m_HoldEnd = std::max(State.m_HoldEndBefore, Now + holdBound(Hold));
+    State.m_UnreachableInRow = 0;
+    State.m_Handover.clear();
+    return;
+  case OrderResult::Fenced:
+    log(Severity::Warning, "grant_fenced", {{"fence", absl::StrCat(Fence)}});
+    State.m_NextGrant = Now + m_Times.m_Lease;
+    resync();
+    return;
+  case OrderResult::Rejected:
+    log(Severity::Error, "grant_rejected", {{"fence", absl::StrCat(Fence)}});
+    return;
+  case OrderResult::Unreachable:
+    ++State.m_UnreachableInRow;
+    State.m_HoldEnd = State.m_HoldEndBefore;
+    State.m_NextGrant = Now + OrderPause;
+    return;
+  case OrderResult::Unanswered:
+    State.m_UnansweredUntil =
+        std::max(State.m_UnansweredUntil,
+                 Sent + m_Ports.m_Grants.grantTimeout() + holdBound(Hold));
+    State.m_NextGrant = Now + OrderPause;
+    return;
+  }
+}
+
+void RangeKeeper::resignIfCutOff(TimePoint Now) {
+  size_t Reachable = 0;
+  size_t Lost = 0;
+  for (const OwnedRange &Each : m_Table->ranges()) {
+    if (!lifeOf(Each))
+      continue;
+    const GrantState &State = m_Grants[Each.m_Fence];
+    (State.m_UnreachableInRow >= UnreachableOrders ? Lost : Reachable) += 1;
+  }
+  if (Lost <= Reachable || Lost < 2)
+    return;
+  m_NoTakeoverUntil = Now + UnfitPause;
+  log(Severity::Warning, "most_owners_unreachable",
+      {{"unreachable", absl::StrCat(Lost)},
+       {"reachable", absl::StrCat(Reachable)}});
+  resign();
+}
+
+void RangeKeeper::setTargets(const std::map<std::string, TargetInfo> &Known,
+                             const std::map<std::string, double> &Usable) {
+  const TimePoint Now = m_Ports.m_Clock.now();
+  std::map<std::string, TargetInfo> Next = Known;
+  // Owners that left are still asked to release what they hold.
+  if (m_Table)
+    for (const OwnedRange &Each : m_Table->ranges()) {
+      const auto Former = m_Known.find(Each.m_Owner);
+      if (Former != m_Known.end())
+        Next.emplace(Former->first, Former->second);
+    }
+  const auto SameKeys = [](const auto &A, const auto &B) {
+    return A.first == B.first;
+  };
+  if (!std::equal(Usable.begin(), Usable.end(), m_Usable.begin(),
+                  m_Usable.end(), SameKeys))
+    m_UsableSince = Now;
+  m_Known = std::move(Next);
+  m_Usable = Usable;
+}
+
+} // namespace monsoon
--- /dev/null
+++ b/src/keyowner/rangekeeper.h
@@ -0,0 +1,189 @@
+#ifndef MONSOON_KEYOWNER_RANGEKEEPER_H
+#define MONSOON_KEYOWNER_RANGEKEEPER_H
+
+#include "keyowner/keyload.h"
+#include "keyowner/keytable.h"
+#include "keyowner/rangeplanner.h"
+#include "membership/topicfollower.h"
+#include "ports/clock.h"
+#include "ports/eventsink.h"
+#include "ports/grantchannel.h"
+#include "ports/sharedlog.h"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace monsoon {
+
+/// Times by which a pool's keys are kept.
+struct KeeperTimes {
+  /// For how long one lease record lets its holder decide, from before it was
+  /// sent.
+  Milliseconds m_Lease{1600};
+  Milliseconds m_LeaseRenewal{500};
+  /// For how long a grant holds, from its arrival.
+  Milliseconds m_Hold{3000};
+  Milliseconds m_GrantRenewal{800};
+  /// Longest hold that targets accept. Granted while the log does not answer,
+  /// so that owners outlast its outage.
+  Milliseconds m_LongestHold{10'000};
+  /// How long the targets of a new pool have to stay the same before their
+  /// first keys are assigned.
+  Milliseconds m_Settling{1000};
+};
+
+/// Keeps one pool's keys assigned. Every entry host runs one; the hosts agree
+/// through a topic of the log in which each append names the offset at which
+/// the topic has to end, so that decisions are taken one after the other and
+/// on the newest state.
+///
+/// The holder of the lease plans moves, records them and only then grants. A
+/// key is granted to another target only after its former owner has released
+/// it under a grant of the same holder, or after the longest hold that anybody
+/// may have given it has run out. See docs/design/platform.md.
+class RangeKeeper {
+public:
+  struct Parts {
+    const Clock &m_Clock;
+    SharedLog &m_Log;
+    GrantChannel &m_Grants;
+    EventSink &m_Events;
+  };
+
+  RangeKeeper(std::string Host, std::string Pool, std::string Topic,
+              KeeperTimes Times, Parts Ports);
+
+  RangeKeeper(const RangeKeeper &) = delete;
+  RangeKeeper &operator=(const RangeKeeper &) = delete;
+
+  /// Called when another table holds.
+  void onChange(std::function<void()> Callback) {
+    m_Changed = std::move(Callback);
+  }
+
+  /// Follows the log and does what is due; called several times a second.
+  void tick();
+  /// Known are all targets of the pool; those in Usable may own keys, with
+  /// their capacity.
+  void setTargets(const std::map<std::string, TargetInfo> &Known,
+                  const std::map<std::string, double> &Usable);
+  /// A request for that key arrived.
+  void noteRequest(uint32_t Key) { m_Load.note(Key); }
+  /// Load per capacity from which targets are relieved.
+  void setCrowdedLoad(double Value) { m_CrowdedLoad = Value; }
+  /// Gives the lease up, so that another host takes over at once.
+  void resign();
+
+  /// Null until the state was read.
+  KeyTablePtr table() const { return m_Table; }
+  const std::string &pool() const { return m_Pool; }
+  bool isHolder() const { return m_Holding; }
+  const OwnerLease &lease() const { return m_Lease; }
+  /// True while the host keeps up with the log.
+  bool isSynced() const { return m_Follower.isSynced(); }
+
+private:
+  /// What is known of the grants of one assignment.
+  struct GrantState {
+    /// Until when the owner may hold the keys, on this host's clock.
+    TimePoint m_HoldEnd{};
+    /// The same without the order that is under way.
+    TimePoint m_HoldEndBefore{};
+    /// Until when an order without an answer may still be carried out.
+    TimePoint m_UnansweredUntil{};
+    TimePoint m_NextGrant{};
+    TimePoint m_LastAccepted{};
+    bool m_InFlight = false;
+    /// True once the owner has accepted a grant of this holder, which makes it
+    /// refuse those of former ones.
+    bool m_Accepted = false;
+    int m_UnreachableInRow = 0;
+    std::string m_Handover;
+  };
+
+  enum class MoveStep { Waiting, Releasing, Freed, Recording };
+
+  struct Move {
+    PlannedMove m_Plan;
+    /// The assignment that ends.
+    uint64_t m_Fence = 0;
+    MoveStep m_Step = MoveStep::Waiting;
+    TimePoint m_Started{};
+    TimePoint m_NextRelease{};
+    bool m_ReleaseInFlight = false;
+    std::string m_Handover;
+  };
+
+  void resync();
+  void fold(const KeyedPage &Page);
+  void foldRecord(const KeyedRecord &Record);
+  void adopt(KeyTablePtr Table);
+  void considerTakeover(TimePoint Now);
+  void takeOver(TimePoint Now);
+  void stepDown(const char *Why);
+  void renewLease(TimePoint Now);
+  void append(std::vector<KeyedRecord> Records,
+              std::function<void()> Accepted);
+  void assignFirst(TimePoint Now);
+  void advanceMoves(TimePoint Now);
+  bool advanceRelease(Move &Each, TimePoint Now);
+  void recordMoves();
+  void planMoves(TimePoint Now);
+  void startMoves(const std::vector<PlannedMove> &Plan, TimePoint Now);
+  bool isOrphaned(const OwnedRange &Range, TimePoint Now) const;
+  void renewGrants(TimePoint Now);
+  void sendGrant(const OwnedRange &Range, const TargetInfo &To, TimePoint Now);
+  void grantDone(uint64_t Fence, uint64_t Term, TimePoint Sent,
+                 Milliseconds Hold, OrderResult Result);
+  void resignIfCutOff(TimePoint Now);
+  const TargetInfo *lifeOf(const OwnedRange &Range) const;
+  bool isMoving(uint64_t Fence) const;
+  bool isReleasing(uint64_t Fence) const;
+  Milliseconds holdBound(Milliseconds Hold) const;
+  void log(Severity Level, const char *Name, EventSink::Details Fields);
+
+  const std::string m_Host;
+  const std::string m_Pool;
+  const std::string m_Topic;
+  const KeeperTimes m_Times;
+  const Parts m_Ports;
+  std::function<void()> m_Changed;
+  /// Callbacks outlive the keeper only as long as this does.
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
+
+  TopicFollower m_Follower;
+  bool m_Resyncing = false;
+  /// A read after an append without an answer has failed as well.
+  bool m_ResyncDue = false;
+  /// Records before this offset are part of the state.
+  LogOffset m_Folded = 0;
+  bool m_AppendPending = false;
+  KeyTablePtr m_Table;
+  OwnerLease m_Lease;
+  TimePoint m_LeaseSeen{};
+
+  bool m_Holding = false;
+  TimePoint m_AuthorityEnd{};
+  TimePoint m_LastRenewal{};
+  TimePoint m_NextRenewal{};
+  TimePoint m_NoTakeoverUntil{};
+  TimePoint m_TookOver{};
+
+  std::map<std::string, TargetInfo> m_Known;
+  std::map<std::string, double> m_Usable;
+  TimePoint m_UsableSince{};
+  std::map<uint64_t, GrantState> m_Grants;
+  std::deque<Move> m_Moves;
+  KeyLoad m_Load;
+  double m_CrowdedLoad = 0;
+  TimePoint m_NextFade{};
+  TimePoint m_NextPlan{};
+};
+
+} // namespace monsoon
+
+#endif
--- /dev/null
+++ b/src/membership/targetdirectory.cpp
@@ -0,0 +1,64 @@
+#include "membership/targetdirectory.h"
+
+#include <utility>
+
+namespace monsoon {
+
+namespace {
+
+/// Reads that are this far apart mean that the log was away.
+constexpr Milliseconds OutageGap{1500};
+/// Live targets are back in the membership within this time of the log's
+/// return (platform's statement: about two seconds).
+constexpr Milliseconds ReentryTime{2200};
+
+} // namespace
+
+void TargetDirectory::noteContact(TimePoint Now) {
+  if (m_LastContact != TimePoint{} && Now - m_LastContact > OutageGap)
+    m_GraceEnd = Now + ReentryTime;
+  m_LastContact = Now;
+}
+
+void TargetDirectory::noteEntry(TimePoint /*Now*/, const TargetInfo &Entry) {
+  const std::pair<int64_t, int64_t> Age{Entry.m_Incarnation, Entry.m_Sequence};
+  const auto Newest = m_Newest.find(Entry.m_Id);
+  if (Newest != m_Newest.end() && Age < Newest->second)
+    return;
+  m_Newest[Entry.m_Id] = Age;
+  m_Lapsed.erase(Entry.m_Id);
+  TargetInfo &Known = m_Targets[Entry.m_Id];
+  if (Known == Entry)
+    return;
+  Known = Entry;
+  m_Changed = true;
+}
+
+void TargetDirectory::noteRemoved(TimePoint Now, const std::string &Id) {
+  const auto Known = m_Targets.find(Id);
+  if (Known == m_Targets.end())
+    return;
+  // A target that had announced its leaving has left.
+  if (Now < m_GraceEnd && !Known->second.m_Draining) {
+    m_Lapsed.emplace(Id, m_GraceEnd);
+    return;
+  }
+  m_Targets.erase(Known);
+  m_Lapsed.erase(Id);
+  m_Changed = true;
+}
+
+bool TargetDirectory::update(TimePoint Now) {
+  for (auto It = m_Lapsed.begin(); It != m_Lapsed.end();) {
+    if (Now < It->second) {
+      ++It;
+      continue;
+    }
+    m_Targets.erase(It->first);
+    m_Changed = true;
+    It = m_Lapsed.erase(It);
+  }
+  return std::exchange(m_Changed, false);
+}
+
+} // namespace monsoon
--- a/src/monsoonstand/commandline.h
+++ b/src/monsoonstand/commandline.h
@@ -9,6 +9,8 @@
 /// What the command line of an entry host asks for.
 struct CommandLine {
   std::string m_SettingsPath;
+  /// Run on a platform, with the settings for that.
+  bool m_Gateway = false;
   /// Check the settings and exit.
   bool m_CheckOnly = false;
 };
--- /dev/null
+++ b/src/monsoonstand/gateway.cpp
@@ -0,0 +1,316 @@
+#include "monsoonstand/gateway.h"
+
+#include "core/keyspace.h"
+#include "entry/dispatcher.h"
+#include "entry/keeperset.h"
+#include "membership/targetdirectory.h"
+#include "monsoonstand/statushandler.h"
+#include "net/acceptor.h"
+#include "platform/grantclient.h"
+#include "platform/platformdialect.h"
+#include "platform/publishedtables.h"
+#include "platform/storeclient.h"
+#include "platform/targetentry.h"
+#include "program/boottimeclock.h"
+#include "program/exitcode.h"
+#include "telemetry/eventlog.h"
+#include "telemetry/requestmetrics.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/signal_set.hpp>
+
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace monsoon {
+
+namespace asio = boost::asio;
+using boost::system::error_code;
+
+namespace {
+
+constexpr const char *HostsTopic = "hosts";
+/// Grain of everything that is due at some time.
+constexpr Milliseconds TickInterval{50};
+/// How long a read of the operators' topic waits. A connection that went silent
+/// delays a config by this and the call's timeout at most.
+constexpr Milliseconds ConfigWait{800};
+/// Pause between reads of the membership, whose entries change at every
+/// heartbeat.
+constexpr Milliseconds MembershipPause{400};
+/// From the stop signal until idle connections are closed: the balancer needs
+/// two failed readiness checks, a second apart, to turn callers away.
+constexpr Milliseconds IdleCloseDelay{3500};
+/// The process ends this long before the platform would kill it.
+constexpr Milliseconds StopMargin{300};
+
+std::string newHostId(const std::string &Name) {
+  std::random_device Source;
+  return absl::StrCat(Name, "#", absl::Hex(Source(), absl::kZeroPad8));
+}
+
+KeeperTimes keeperTimes(const GatewaySettings &Config) {
+  KeeperTimes Times;
+  Times.m_LongestHold = Config.m_LongestHold;
+  return Times;
+}
+
+SharedLimits sharedLimits(const GatewaySettings &Config) {
+  SharedLimits Limits;
+  Limits.m_Retries.m_Ratio = Config.m_RetryRatio;
+  Limits.m_Retries.m_Slack = Config.m_RetrySlack;
+  Limits.m_Retries.m_Window = Config.m_RetryWindow;
+  return Limits;
+}
+
+} // namespace
+
+struct Gateway::Parts {
+  explicit Parts(const GatewaySettings &Config)
+      : m_Settings(Config), m_Store(m_Loop, m_Time, Config.m_Log),
+        m_Grants(m_Loop, m_Time),
+        m_Targets(
+            m_Time,
+            [this](const Endpoint &Address) { return makeLinks(Address); },
+            m_Events),
+        m_Hosts(Config.m_Host, HostsTopic, m_Store, m_Time),
+        m_Keepers(newHostId(Config.m_Host), keeperTimes(Config),
+                  {m_Time, m_Store, m_Grants, m_Events}, m_Targets),
+        m_Dispatcher(m_Loop, m_Dialect,
+                     {m_Time, m_Targets, m_Hosts, m_Metrics, Config.m_Host,
+                      Config.m_FailureDomain, sharedLimits(Config)},
+                     [this](const std::string &Pool) {
+                       return m_Keepers.find(Pool);
+                     }),
+        m_Operators({OperatorTopic, ConfigWait, Milliseconds(0)}, m_Store,
+                    m_Time,
+                    [this](const KeyedPage &Page, bool Whole) {
+                      noteOperators(Page, Whole);
+                    }),
+        m_Members({TargetTopic, Milliseconds(0), MembershipPause}, m_Store,
+                  m_Time,
+                  [this](const KeyedPage &Page, bool Whole) {
+                    noteMembers(Page, Whole);
+                  }),
+        m_ReadyHandler([this]() {
+          return StatusHandler::Status{isReady() ? 200 : 503, ""};
+        }),
+        m_MetricsHandler([this]() {
+          return StatusHandler::Status{200, m_Metrics.render()};
+        }),
+        m_Callers(m_Loop, m_Time, m_Dispatcher),
+        m_Readiness(m_Loop, m_Time, m_ReadyHandler),
+        m_MetricsServer(m_Loop, m_Time, m_MetricsHandler), m_Tick(m_Loop),
+        m_Signals(m_Loop, SIGTERM, SIGINT, SIGHUP) {
+    m_Keepers.onChange([this]() { m_Dispatcher.offerWaiting(); });
+  }
+
+  std::unique_ptr<LinkPool> makeLinks(const Endpoint &Address) {
+    HttpLink::Options Options;
+    Options.m_Address = Address;
+    Options.m_EchoField = std::string(m_Dialect.requestIdField());
+    return std::make_unique<LinkPool>(m_Loop, m_Time, Options);
+  }
+
+  bool isReady() const {
+    return !m_Stopping && m_Dispatcher.routes() && m_Members.isSynced() &&
+           m_Keepers.areOwnersKnown();
+  }
+
+  void noteOperators(const KeyedPage &Page, bool Whole) {
+    if (Whole) {
+      std::set<std::string> Out;
+      for (const KeyedRecord &Each : Page.m_Records)
+        if (const auto Domain = domainOutOfKey(Each.m_Key))
+          Out.insert(*Domain);
+      m_Targets.setDomainsOut(Out);
+    }
+    for (const KeyedRecord &Each : Page.m_Records) {
+      if (Each.m_Key == ConfigKey && Each.m_Value)
+        noteConfig(*Each.m_Value);
+      else if (const auto Domain = domainOutOfKey(Each.m_Key))
+        m_Targets.setDomainOut(*Domain, Each.m_Value.has_value());
+    }
+    if (Page.m_Records.empty())
+      return;
+    m_Keepers.targetsChanged(m_Directory.targets());
+    m_Dispatcher.offerWaiting();
+  }
+
+  void noteConfig(const std::string &Text) {
+    auto Routes = decodePublishedTables(Text);
+    if (!Routes) {
+      m_Events.event(Severity::Error, "config_invalid",
+                     {{"detail", Routes.error().m_Message}});
+      return;
+    }
+    const RouteIndexPtr &Current = m_Dispatcher.routes();
+    if (Current && Routes.value()->version() <= Current->version())
+      return;
+    m_Events.event(
+        Severity::Info, "config_adopted",
+        {{"version", absl::StrCat(Routes.value()->version())},
+         {"routes",
+          absl::StrCat(Routes.value()->tables().routes().size())}});
+    m_Keepers.setRoutes(*Routes.value());
+    m_Dispatcher.setRoutes(Routes.value());
+  }
+
+  void noteMembers(const KeyedPage &Page, bool Whole) {
+    const TimePoint Now = m_Time.now();
+    m_Directory.noteContact(Now);
+    std::set<std::string> Present;
+    for (const KeyedRecord &Each : Page.m_Records) {
+      Present.insert(Each.m_Key);
+      if (!Each.m_Value) {
+        m_Directory.noteRemoved(Now, Each.m_Key);
+        continue;
+      }
+      const auto Entry = decodeTargetEntry(Each.m_Key, *Each.m_Value);
+      if (Entry)
+        m_Directory.noteEntry(Now, Entry.value());
+      else
+        m_Events.event(Severity::Debug, "entry_unreadable",
+                       {{"detail", Entry.error().m_Message}});
+    }
+    if (Whole) {
+      const TargetMap Known = m_Directory.targets();
+      for (const auto &[Id, Info] : Known)
+        if (Present.count(Id) == 0)
+          m_Directory.noteRemoved(Now, Id);
+    }
+    updateTargets(Now);
+  }
+
+  void updateTargets(TimePoint Now) {
+    if (!m_Directory.update(Now))
+      return;
+    m_Targets.setTargets(m_Directory.targets());
+    m_Keepers.targetsChanged(m_Directory.targets());
+    m_Dispatcher.offerWaiting();
+  }
+
+  void armTick() {
+    m_Tick.expires_after(TickInterval);
+    m_Tick.async_wait([this](const error_code &Error) {
+      if (Error)
+        return;
+      tick();
+      armTick();
+    });
+  }
+
+  void tick() {
+    const TimePoint Now = m_Time.now();
+    updateTargets(Now);
+    m_Operators.tick();
+    m_Members.tick();
+    if (m_Stopping) {
+      continueStop(Now);
+      return;
+    }
+    m_Hosts.tick();
+    m_Keepers.tick();
+    m_Dispatcher.tick();
+  }
+
+  void waitForSignal() {
+    m_Signals.async_wait([this](const error_code &Error, int Signal) {
+      if (Error)
+        return;
+      if (Signal == SIGHUP)
+        m_Events.event(Severity::Info, "reload_asked", {});
+      else
+        beginStop();
+      waitForSignal();
+    });
+  }
+
+  void beginStop() {
+    if (std::exchange(m_Stopping, true))
+      return;
+    m_StopBegan = m_Time.now();
+    m_Events.event(Severity::Info, "stopping", {});
+    m_Callers.sessions().drainAll(false);
+    m_Keepers.resign();
+    m_Hosts.leave();
+  }
+
+  void continueStop(TimePoint Now) {
+    m_Dispatcher.tick();
+    if (m_Keepers.holdsAny())
+      m_Keepers.resign();
+    const Duration Passed = Now - m_StopBegan;
+    if (Passed < IdleCloseDelay)
+      return;
+    m_Callers.sessions().drainAll(true);
+    const bool Done = m_Callers.sessions().busy() == 0;
+    if (!Done && Passed < m_Settings.m_StopLimit - StopMargin)
+      return;
+    m_Cut = m_Callers.sessions().busy();
+    m_Callers.close();
+    m_Callers.sessions().abortAll();
+    m_Loop.stop();
+  }
+
+  const GatewaySettings &m_Settings;
+  asio::io_context m_Loop{1};
+  BootTimeClock m_Time;
+  EventLog m_Events;
+  RequestMetrics m_Metrics;
+  PlatformDialect m_Dialect;
+  StoreClient m_Store;
+  GrantClient m_Grants;
+  TargetDirectory m_Directory;
+  TargetRegistry m_Targets;
+  HostPresence m_Hosts;
+  KeeperSet m_Keepers;
+  Dispatcher m_Dispatcher;
+  TopicFollower m_Operators;
+  TopicFollower m_Members;
+  StatusHandler m_ReadyHandler;
+  StatusHandler m_MetricsHandler;
+  Acceptor m_Callers;
+  Acceptor m_Readiness;
+  Acceptor m_MetricsServer;
+  asio::steady_timer m_Tick;
+  asio::signal_set m_Signals;
+  bool m_Stopping = false;
+  TimePoint m_StopBegan{};
+  size_t m_Cut = 0;
+};
+
+Gateway::Gateway(GatewaySettings Config) : m_Settings(std::move(Config)) {}
+
+Gateway::~Gateway() = default;
+
+int Gateway::run() {
+  std::signal(SIGPIPE, SIG_IGN);
+  m_Parts = std::make_unique<Parts>(m_Settings);
+  for (const auto &[Server, Address] :
+       {std::pair{&m_Parts->m_Readiness, m_Settings.m_Readiness},
+        std::pair{&m_Parts->m_MetricsServer, m_Settings.m_Metrics},
+        std::pair{&m_Parts->m_Callers, m_Settings.m_Callers}}) {
+    const auto Listening = Server->listen(Address);
+    if (Listening)
+      continue;
+    m_Parts->m_Events.event(Severity::Error, "bind_failed",
+                            {{"detail", Listening.error().m_Message}});
+    return ExitFailed;
+  }
+  m_Parts->m_Events.event(Severity::Info, "started",
+                          {{"domain", m_Settings.m_FailureDomain}});
+  m_Parts->waitForSignal();
+  m_Parts->tick();
+  m_Parts->armTick();
+  m_Parts->m_Loop.run();
+  m_Parts->m_Events.event(m_Parts->m_Cut == 0 ? Severity::Info
+                                              : Severity::Error,
+                          "stopped",
+                          {{"requests_cut", absl::StrCat(m_Parts->m_Cut)}});
+  return m_Parts->m_Cut == 0 ? ExitOk : ExitCut;
+}
+
+} // namespace monsoon
--- /dev/null
+++ b/src/net/acceptor.h
@@ -0,0 +1,40 @@
+#ifndef MONSOON_NET_ACCEPTOR_H
+#define MONSOON_NET_ACCEPTOR_H
+
+#include "core/outcome.h"
+#include "core/settings.h"
+#include "net/callersession.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+namespace monsoon {
+
+/// Listens at an address and starts a session for each connection.
+class Acceptor {
+public:
+  Acceptor(boost::asio::io_context &Loop, const Clock &Time,
+           RequestHandler &Handler);
+
+  /// Binds and listens; the failure names the address.
+  Outcome<void> listen(const Endpoint &Address);
+
+  /// Stops accepting.
+  void close();
+
+  SessionBook &sessions() { return m_Sessions; }
+
+private:
+  void acceptNext();
+
+  const Clock &m_Clock;
+  RequestHandler &m_Handler;
+  boost::asio::ip::tcp::acceptor m_Acceptor;
+  boost::asio::steady_timer m_Pause;
+  SessionBook m_Sessions;
+};
+
+} // namespace monsoon
+
+#endif
--- /dev/null
+++ b/src/net/linkpool.cpp
@@ -0,0 +1,43 @@
+#include "net/linkpool.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace monsoon {
+
+LinkPool::LinkPool(boost::asio::io_context &Loop, const Clock &Time,
+                   HttpLink::Options Config)
+    : m_Loop(Loop), m_Clock(Time), m_Config(std::move(Config)) {}
+
+LinkPool::~LinkPool() {
+  // Busy links end by their own requests.
+  for (const auto &Link : m_Links)
+    if (Link->isConnected())
+      Link->close();
+}
+
+std::shared_ptr<HttpLink> LinkPool::take() {
+  dropClosed();
+  std::shared_ptr<HttpLink> Best;
+  for (const auto &Link : m_Links) {
+    if (!Link->isConnected())
+      continue;
+    if (!Link->isUsable())
+      Link->close();
+    else if (!Best || Link->idleSince() > Best->idleSince())
+      Best = Link;
+  }
+  if (Best)
+    return Best;
+  m_Links.push_back(std::make_shared<HttpLink>(m_Loop, m_Clock, m_Config));
+  return m_Links.back();
+}
+
+void LinkPool::dropClosed() {
+  m_Links.erase(
+      std::remove_if(m_Links.begin(), m_Links.end(),
+                     [](const auto &Link) { return Link->isClosed(); }),
+      m_Links.end());
+}
+
+} // namespace monsoon
--- /dev/null
+++ b/src/policy/poolqueue.h
@@ -0,0 +1,57 @@
+#ifndef MONSOON_POLICY_POOLQUEUE_H
+#define MONSOON_POLICY_POOLQUEUE_H
+
+#include "core/timepoint.h"
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <memory>
+
+namespace monsoon {
+
+/// A request that waits for a target, as the queue sees it.
+class QueuedRequest {
+public:
+  virtual ~QueuedRequest() = default;
+  /// Rank under overload; 0 goes first.
+  virtual int priority() const = 0;
+  /// Moment from which an answer is of no use.
+  virtual TimePoint deadline() const = 0;
+};
+
+/// The requests of one pool that wait for a target: by rank, then in order of
+/// arrival. Answers bursts: what can't be served in time is refused when it
+/// arrives, not when its time is over.
+class PoolQueue {
+public:
+  using Item = std::shared_ptr<QueuedRequest>;
+
+  /// True when a request of that rank, if it waited now, would be served
+  /// before its deadline. Service is the time that its work takes and Room the
+  /// number of requests that are served side by side.
+  bool wouldServeInTime(TimePoint Now, int Priority, TimePoint Deadline,
+                        Duration Service, double Room) const;
+
+  /// Time after which a place is expected for a request of that rank.
+  Duration expectedWait(int Priority, Duration Service, double Room) const;
+
+  void add(Item Request);
+  /// Removes a request; false if it does not wait.
+  bool remove(const QueuedRequest *Request);
+
+  /// Offers the waiting requests in order; each that is taken leaves the
+  /// queue. Offering ends when Stop is returned.
+  enum class Verdict { Taken, Waits, Stop };
+  void offer(const std::function<Verdict(const Item &)> &Take);
+
+  size_t size() const { return m_Items.size(); }
+  bool isEmpty() const { return m_Items.empty(); }
+
+private:
+  std::list<Item> m_Items;
+};
+
+} // namespace monsoon
+
+#endif
--- a/src/ports/clock.h
+++ b/src/ports/clock.h
@@ -11,6 +11,11 @@
 public:
   virtual ~Clock() = default;
   virtual TimePoint now() const = 0;
+};
+
+/// A clock on which a thread can wait.
+class WaitingClock : public Clock {
+public:
   /// Blocks the calling thread for a time.
   virtual void sleepFor(Duration Length) = 0;
 };
--- a/src/ports/metricssink.h
+++ b/src/ports/metricssink.h
@@ -20,8 +20,14 @@
   int m_Status = 0;
   /// Empty when a target's answer was passed on.
   std::optional<ErrorKind> m_Error;
+  /// Why it ended as it did; empty when the error kind says it all.
+  std::string m_Reason;
+  /// Version of the tables by which it was handled.
+  int64_t m_ConfigVersion = 0;
   int m_Attempts = 0;
   Duration m_Elapsed{};
+  /// Time before it was sent to the last target.
+  Duration m_Waited{};
 };
 
 /// Takes a report of each finished request.
--- a/src/program/steadyclock.h
+++ b/src/program/steadyclock.h
@@ -8,7 +8,7 @@
 namespace monsoon {
 
 /// The monotonic clock of the operating system.
-class SteadyClock : public Clock {
+class SteadyClock : public WaitingClock {
 public:
   TimePoint now() const override { return std::chrono::steady_clock::now(); }
   void sleepFor(Duration Length) override {
--- a/src/telemetry/requestmetrics.cpp
+++ b/src/telemetry/requestmetrics.cpp
@@ -32,7 +32,9 @@
 }
 
 void RequestMetrics::log(const RequestReport &Report) {
-  const LogLevel Level = Report.m_Error ? LogLevel::Info : LogLevel::Debug;
+  const bool Plain =
+      !Report.m_Error && Report.m_Status / 100 == 2 && Report.m_Attempts <= 1;
+  const LogLevel Level = Plain ? LogLevel::Debug : LogLevel::Info;
   if (!isLogged(Level))
     return;
   LogLine Line(Level, "request");
@@ -42,6 +44,9 @@
       .field("target", Report.m_Target)
       .field("status", int64_t(Report.m_Status))
       .field("attempts", int64_t(Report.m_Attempts))
+      .field("reason", Report.m_Reason)
+      .field("config_version", Report.m_ConfigVersion)
+      .field("waited_ms", toMilliseconds(Report.m_Waited))
       .field("elapsed_ms", toMilliseconds(Report.m_Elapsed));
   if (Report.m_Error)
     Line.field("error_kind", std::string(errorName(*Report.m_Error)));
--- a/tests/engine/requestpathtest.cpp
+++ b/tests/engine/requestpathtest.cpp
@@ -197,9 +197,9 @@
   Bench.grantView("ledger1", true, Milliseconds(1000));
   struct Granting : FakeClock {};
   // The handover ends after a while: the clock's sleeper grants the view.
-  class WaitingClock : public Clock {
+  class AnsweringClock : public WaitingClock {
   public:
-    explicit WaitingClock(RequestBench &Bench) : m_Bench(Bench) {}
+    explicit AnsweringClock(RequestBench &Bench) : m_Bench(Bench) {}
     TimePoint now() const override { return m_Bench.m_Time.now(); }
     void sleepFor(Duration Length) override {
       m_Bench.m_Time.advance(Length);
--- a/tests/support/fakeclock.h
+++ b/tests/support/fakeclock.h
@@ -6,7 +6,7 @@
 namespace monsoon {
 
 /// A clock that moves only when told, or when somebody sleeps.
-class FakeClock : public Clock {
+class FakeClock : public WaitingClock {
 public:
   TimePoint now() const override { return m_Now; }
   void sleepFor(Duration Length) override { m_Now += Length; }
