Owners: leases by the platform's group, expected target on grants, moves by load

Change: grants and releases name the target they are for; a draining session ends behind its last request; a new life keeps its keys under a new fence; unreachable targets are shunned. The lease is held through the platform's group instead of renewals in the topic. Keys move by load only from targets that use 0.7 of their slots, and weigh measured speed.

--- a/src/entry/keeperset.cpp
+++ b/src/entry/keeperset.cpp
@@ -7,6 +7,15 @@
 
 namespace monsoon {
 
+namespace {
+
+/// Part of its slots in use from which a target counts as crowded.
+constexpr double CrowdedUse = 0.7;
+/// Targets count as at most this much faster or slower than usual.
+constexpr double MostSpeed = 2;
+
+} // namespace
+
 KeeperSet::KeeperSet(std::string Host, KeeperTimes Times,
                      RangeKeeper::Parts Ports, const TargetRegistry &Targets)
     : m_Host(std::move(Host)), m_Times(Times), m_Ports(Ports),
@@ -49,19 +58,38 @@
     const bool MayOwn = !Info.m_Draining &&
                         !m_Targets.isDomainOut(Info.m_FailureDomain);
     if (MayOwn)
-      Usable.emplace(Id, Info.m_Slots);
+      Usable.emplace(Id, capacityOf(Info));
   }
   Keeper.setTargets(Known, Usable);
 }
 
-void KeeperSet::tick() {
-  for (const auto &[Pool, Keeper] : m_Keepers)
-    Keeper->tick();
+double KeeperSet::capacityOf(const TargetInfo &Info) const {
+  const TargetNodePtr Node = m_Targets.find(Info.m_Id);
+  const auto Usual = m_Usual.find(Info.m_Pool);
+  if (!Node || Usual == m_Usual.end())
+    return Info.m_Slots;
+  const Duration Own =
+      Node->load().serviceTime(m_Ports.m_Clock.now(), Usual->second);
+  const double Speed = std::chrono::duration<double>(Usual->second).count() /
+                       std::chrono::duration<double>(Own).count();
+  return Info.m_Slots * std::clamp(Speed, 1 / MostSpeed, MostSpeed);
 }
 
-void KeeperSet::resign() {
+void KeeperSet::setUsualTime(const std::string &Pool, Duration Usual,
+                             size_t Hosts) {
+  RangeKeeper *Keeper = find(Pool);
+  if (!Keeper)
+    return;
+  m_Usual[Pool] = Usual;
+  const double Seconds = std::chrono::duration<double>(Usual).count();
+  Keeper->setCrowdedLoad(CrowdedUse / Seconds /
+                         static_cast<double>(std::max<size_t>(1, Hosts)));
+  pass(*Keeper);
+}
+
+void KeeperSet::tick() {
   for (const auto &[Pool, Keeper] : m_Keepers)
-    Keeper->resign();
+    Keeper->tick();
 }
 
 RangeKeeper *KeeperSet::find(const std::string &Pool) const {
@@ -75,10 +103,4 @@
   });
 }
 
-bool KeeperSet::holdsAny() const {
-  return std::any_of(
-      m_Keepers.begin(), m_Keepers.end(),
-      [](const auto &Each) { return Each.second->isHolder(); });
-}
-
 } // namespace monsoon
--- a/src/entry/keeperset.h
+++ b/src/entry/keeperset.h
@@ -15,9 +15,6 @@
 /// The keepers of all pools whose targets own keys.
 class KeeperSet {
 public:
-  /// Time that one request takes in a pool, as this host measures it.
-  using UsualTimeOf = std::function<Duration(const std::string &Pool)>;
-
   KeeperSet(std::string Host, KeeperTimes Times, RangeKeeper::Parts Ports,
             const TargetRegistry &Targets);
 
@@ -31,15 +28,18 @@
   /// The membership or the domains that are out changed.
   void targetsChanged(const TargetMap &Known);
   void tick();
-  void resign();
+  /// Tells what a pool's targets bear: the time that a request usually takes,
+  /// and how many hosts send them.
+  void setUsualTime(const std::string &Pool, Duration Usual, size_t Hosts);
 
   RangeKeeper *find(const std::string &Pool) const;
   /// True once the owners of every pool are known.
   bool areOwnersKnown() const;
-  bool holdsAny() const;
 
 private:
   void pass(RangeKeeper &Keeper) const;
+  /// Slots, weighted with the speed that this host measures.
+  double capacityOf(const TargetInfo &Info) const;
 
   const std::string m_Host;
   const KeeperTimes m_Times;
@@ -47,6 +47,7 @@
   const TargetRegistry &m_Targets;
   std::function<void()> m_Changed;
   TargetMap m_Known;
+  std::map<std::string, Duration> m_Usual;
   std::map<std::string, std::unique_ptr<RangeKeeper>> m_Keepers;
 };
 
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -5,7 +5,7 @@
 #include "entry/exchange.h"
 #include "entry/targetregistry.h"
 #include "keyowner/rangekeeper.h"
-#include "membership/hostpresence.h"
+#include "membership/hostmembership.h"
 #include "policy/poolqueue.h"
 #include "policy/retrywindow.h"
 #include "policy/targetchooser.h"
@@ -35,7 +35,7 @@
   struct Parts {
     const Clock &m_Clock;
     TargetRegistry &m_Targets;
-    HostPresence &m_Hosts;
+    HostMembership &m_Hosts;
     MetricsSink &m_Metrics;
     std::string m_HostName;
     std::string m_FailureDomain;
--- a/src/keyowner/keyload.cpp
+++ b/src/keyowner/keyload.cpp
@@ -7,15 +7,15 @@
 /// What is left of the load of a second ago.
 constexpr float KeptPerSecond = 0.75F;
 /// Below this a key counts as unused.
-constexpr float Negligible = 0.01F;
+constexpr float Negligible = 0.002F;
 
 } // namespace
 
 KeyLoad::KeyLoad() : m_ByKey(KeyCount, 0.0F) {}
 
 void KeyLoad::note(uint32_t Key) {
-  m_ByKey[Key] += 1;
-  m_Total += 1;
+  m_ByKey[Key] += 1 - KeptPerSecond;
+  m_Total += 1 - KeptPerSecond;
 }
 
 void KeyLoad::fade() {
--- a/src/keyowner/keyload.h
+++ b/src/keyowner/keyload.h
@@ -7,7 +7,7 @@
 
 namespace monsoon {
 
-/// Requests per key, with old ones fading out. One host sees only its part of
+/// Requests per key and second, with old ones fading out. One host sees only its part of
 /// them, but callers are spread without regard to keys, so the parts are alike.
 class KeyLoad {
 public:
--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -13,17 +13,17 @@
 namespace {
 
 /// How long a read of the topic waits for records.
-constexpr Milliseconds ReadWait{1000};
+constexpr Milliseconds ReadWait{2000};
 /// A host whose last read is older does not try to take over.
-constexpr Milliseconds StaleRead{2500};
+constexpr Milliseconds StaleRead{4000};
 /// Targets' clocks may measure a hold this much too long.
-constexpr double SlowClock = 1.03;
-/// Covers the way of an order and the grain of timers.
-constexpr Milliseconds HoldMargin{300};
-/// Spread of the hosts' takeovers, so that mostly one tries.
-constexpr Milliseconds TakeoverSpread{400};
-/// A holder whose last renewal is older fears for the log.
-constexpr Milliseconds LogTrouble{900};
+constexpr double SlowClock = 1.025;
+/// Covers the grain of timers.
+constexpr Milliseconds HoldMargin{50};
+/// A holder whose lease was confirmed longer ago fears for the log.
+constexpr Milliseconds LogTrouble{850};
+/// Pause before an order that was refused for good is tried again.
+constexpr Milliseconds FencedPause{1500};
 /// Pause before an order is sent again.
 constexpr Milliseconds OrderPause{120};
 /// An unanswered release is sent again after this time.
@@ -31,11 +31,13 @@
 /// An owner that could not be reached for this long loses its keys.
 constexpr Milliseconds UnreachableLimit{1500};
 constexpr int UnreachableOrders = 3;
+/// A target that could not be reached gets no keys for this time, doubled each
+/// time up to the longest.
+constexpr Milliseconds FirstShun{12'000};
+constexpr Milliseconds LongestShun{40'000};
 constexpr Milliseconds PlanPause{250};
 /// Moves under way at the same time.
 constexpr size_t MaxMoves = 64;
-/// A host that can't reach most owners leaves the lease to others this long.
-constexpr Milliseconds UnfitPause{4000};
 
 } // namespace
 
@@ -49,8 +51,7 @@
                    if (Whole)
                      m_Folded = 0;
                    fold(Page);
-                 }),
-      m_LeaseSeen(Ports.m_Clock.now()) {}
+                 }) {}
 
 void RangeKeeper::log(Severity Level, const char *Name,
                       EventSink::Details Fields) {
@@ -99,7 +100,6 @@
     }
     const bool NewHolder = !(Lease.value() == m_Lease);
     m_Lease = Lease.value();
-    m_LeaseSeen = m_Ports.m_Clock.now();
     if (m_Holding && m_Lease.m_Holder != m_Host)
       stepDown("another host holds the lease");
     if (NewHolder)
@@ -136,9 +136,10 @@
           Old.m_Incarnation != Each.m_Incarnation ||
           !Old.m_Keys.contains(Each.m_Keys.m_First))
         continue;
-      State.m_HoldEnd = OldState->second.m_HoldEnd;
-      State.m_UnansweredUntil = OldState->second.m_UnansweredUntil;
-      State.m_LastAccepted = OldState->second.m_LastAccepted;
+      State = OldState->second;
+      // An order for the whole range may still arrive.
+      if (std::exchange(State.m_InFlight, false))
+        State.m_UnansweredUntil = State.m_HoldEnd;
     }
   }
   m_Grants = std::move(Grants);
@@ -157,13 +158,15 @@
     return;
   if (m_ResyncDue)
     resync();
-  if (!m_Holding) {
-    considerTakeover(Now);
+  if (!hasLease(Now)) {
+    if (m_Holding)
+      stepDown("the lease ran out");
     return;
   }
-  renewLease(Now);
-  if (Now >= m_AuthorityEnd)
+  if (!m_Holding) {
+    takeOver(Now);
     return;
+  }
   if (m_Table->ranges().empty()) {
     assignFirst(Now);
     return;
@@ -171,47 +174,34 @@
   advanceMoves(Now);
   planMoves(Now);
   renewGrants(Now);
-  resignIfCutOff(Now);
 }
 
-void RangeKeeper::considerTakeover(TimePoint Now) {
-  if (m_AppendPending || m_Resyncing || m_Usable.empty() ||
-      Now < m_NoTakeoverUntil)
-    return;
-  const auto Spread = Milliseconds(
-      mixHash(stableHash(m_Host), stableHash(m_Pool) + m_Lease.m_Term) %
-      static_cast<uint64_t>(TakeoverSpread.count()));
-  // A resigned lease and a first one need no waiting for a former holder.
-  const Duration Silence =
-      m_Lease.m_Holder.empty() ? Duration(Spread) : m_Times.m_Lease + Spread;
-  if (Now - m_LeaseSeen < Silence + HoldMargin)
-    return;
-  // Silence counts only while the log was read.
-  if (Now - m_Follower.lastRead() > StaleRead)
-    return;
-  takeOver(Now);
+bool RangeKeeper::hasLease(TimePoint Now) const {
+  return Now < m_Ports.m_Leases.heldUntil(m_Pool);
 }
 
 void RangeKeeper::takeOver(TimePoint Now) {
+  // Silence of the topic does not matter, but what is in it has to be known.
+  if (m_AppendPending || m_Resyncing || m_Usable.empty() ||
+      Now - m_Follower.lastRead() > StaleRead)
+    return;
   const OwnerLease Lease{m_Host, m_Lease.m_Term + 1};
   const auto Table = std::make_shared<KeyTable>(
       KeyTable::Builder(*m_Table).renewFences().build());
   append({{LeaseRecordKey, encodeLease(Lease)},
           {TableRecordKey, encodeKeyTable(*Table)}},
-         [this, Lease, Table, Now]() {
+         [this, Lease, Table]() {
            m_Lease = Lease;
            m_Holding = true;
-           m_LastRenewal = Now;
-           m_AuthorityEnd = Now + m_Times.m_Lease;
-           m_NextRenewal = Now + m_Times.m_LeaseRenewal;
            m_TookOver = m_Ports.m_Clock.now();
            m_Moves.clear();
            m_Grants.clear();
            adopt(Table);
-           // The former holder may have granted up to now, for the longest
-           // time.
+           // A former holder may grant until its lease has run out by its own
+           // count, for the longest time.
            for (auto &[Fence, State] : m_Grants)
-             State.m_HoldEnd = m_TookOver + m_Ports.m_Grants.grantTimeout() +
+             State.m_HoldEnd = m_TookOver + m_Ports.m_Leases.longestLease() +
+                               m_Ports.m_Grants.grantTimeout() +
                                holdBound(m_Times.m_LongestHold);
            log(Severity::Info, "lease_taken",
                {{"ranges", absl::StrCat(m_Table->ranges().size())}});
@@ -225,13 +215,6 @@
   log(Severity::Warning, "lease_lost", {{"reason", Why}});
 }
 
-void RangeKeeper::resign() {
-  if (!m_Holding || m_AppendPending || m_Resyncing)
-    return;
-  append({{LeaseRecordKey, encodeLease({"", m_Lease.m_Term})}}, []() {});
-  stepDown("resigned");
-}
-
 void RangeKeeper::append(std::vector<KeyedRecord> Records,
                          std::function<void()> Accepted) {
   m_AppendPending = true;
@@ -247,7 +230,6 @@
           // in between.
           m_Folded = std::max(m_Folded, End.value());
           m_Follower.skipTo(End.value());
-          m_LeaseSeen = m_Ports.m_Clock.now();
           Accepted();
           return;
         }
@@ -256,19 +238,6 @@
       });
 }
 
-void RangeKeeper::renewLease(TimePoint Now) {
-  if (Now < m_NextRenewal || m_AppendPending || m_Resyncing)
-    return;
-  m_NextRenewal = Now + m_Times.m_LeaseRenewal;
-  append({{LeaseRecordKey, encodeLease(m_Lease)}},
-         [this, Now, Term = m_Lease.m_Term]() {
-           if (!m_Holding || m_Lease.m_Term != Term)
-             return;
-           m_LastRenewal = Now;
-           m_AuthorityEnd = Now + m_Times.m_Lease;
-         });
-}
-
 void RangeKeeper::assignFirst(TimePoint Now) {
   if (m_AppendPending || m_Resyncing || m_Usable.empty() ||
       Now - m_UsableSince < m_Times.m_Settling)
@@ -292,6 +261,21 @@
   return &It->second;
 }
 
+bool RangeKeeper::hasNewLife(const OwnedRange &Range) const {
+  const auto It = m_Known.find(Range.m_Owner);
+  return It != m_Known.end() &&
+         It->second.m_Incarnation != Range.m_Incarnation;
+}
+
+void RangeKeeper::shun(const std::string &Id, TimePoint Now) {
+  Shunned &Entry = m_Shunned[Id];
+  if (Now < Entry.m_Until)
+    return;
+  Entry.m_Length = std::clamp<Duration>(Entry.m_Length * 2, FirstShun,
+                                        LongestShun);
+  Entry.m_Until = Now + Entry.m_Length;
+}
+
 bool RangeKeeper::isMoving(uint64_t Fence) const {
   return std::any_of(
       m_Moves.begin(), m_Moves.end(),
@@ -304,7 +288,7 @@
   });
 }
 
-Milliseconds RangeKeeper::holdBound(Milliseconds Hold) const {
+Milliseconds RangeKeeper::holdBound(Milliseconds Hold) {
   return std::chrono::duration_cast<Milliseconds>(Hold * SlowClock) +
          HoldMargin;
 }
@@ -314,6 +298,8 @@
   if (!Life || m_Usable.count(Range.m_Owner) == 0)
     return true;
   const auto State = m_Grants.find(Range.m_Fence);
+  if (State != m_Grants.end() && State->second.m_OwnerGone)
+    return true;
   return State != m_Grants.end() &&
          State->second.m_UnreachableInRow >= UnreachableOrders &&
          Now - std::max(State->second.m_LastAccepted, m_TookOver) >
@@ -326,6 +312,7 @@
     return;
   m_NextPlan = Now + PlanPause;
   PlanInput Input;
+  std::vector<PlannedMove> SameOwner;
   Input.m_Table = m_Table.get();
   Input.m_Load = &m_Load;
   Input.m_CrowdedLoad = m_CrowdedLoad;
@@ -335,12 +322,28 @@
   for (const OwnedRange &Each : m_Table->ranges()) {
     if (!isOrphaned(Each, Now))
       continue;
+    // What an order under way will have done is known soon.
+    if (m_Grants[Each.m_Fence].m_InFlight) {
+      Input.m_Moving.emplace(Each.m_Fence, "");
+      continue;
+    }
+    // A new life of the owner may have taken grants that were meant for the
+    // former one, so the keys stay with it if possible.
+    if (hasNewLife(Each) && m_Usable.count(Each.m_Owner) > 0) {
+      if (!isMoving(Each.m_Fence))
+        SameOwner.push_back({Each.m_Keys, Each.m_Owner, Each.m_Owner});
+      Input.m_Moving.emplace(Each.m_Fence, Each.m_Owner);
+      continue;
+    }
     Input.m_Orphaned.insert(Each.m_Fence);
-    // An owner that does not answer gets no further keys either.
-    if (lifeOf(Each))
-      Input.m_Capacity.erase(Each.m_Owner);
+    if (lifeOf(Each) && m_Usable.count(Each.m_Owner) > 0)
+      shun(Each.m_Owner, Now);
   }
-  const std::vector<PlannedMove> Plan = RangePlanner::plan(Input);
+  for (const auto &[Id, Entry] : m_Shunned)
+    if (Now < Entry.m_Until)
+      Input.m_Capacity.erase(Id);
+  std::vector<PlannedMove> Plan = RangePlanner::plan(Input);
+  Plan.insert(Plan.end(), SameOwner.begin(), SameOwner.end());
   // A range of which only a part moves is divided first, so that the rest is
   // renewed while the part is released.
   KeyTable::Builder Divided(*m_Table);
@@ -406,11 +409,8 @@
   if (!Range || Range->m_Fence != Each.m_Fence)
     return false;
   const TargetInfo *From = lifeOf(*Range);
-  const bool LifeOver =
-      !From && m_Known.count(Range->m_Owner) > 0 &&
-      m_Known.at(Range->m_Owner).m_Incarnation != Range->m_Incarnation;
   GrantState &State = m_Grants[Each.m_Fence];
-  if (LifeOver || Now >= State.m_HoldEnd) {
+  if (Each.m_Plan.m_To == Range->m_Owner || Now >= State.m_HoldEnd) {
     Each.m_Step = MoveStep::Freed;
     return true;
   }
@@ -489,19 +489,27 @@
 }
 
 void RangeKeeper::renewGrants(TimePoint Now) {
-  if (!m_Holding || Now >= m_AuthorityEnd)
+  if (!m_Holding || !hasLease(Now))
     return;
+  // While the log does not answer, owners get all the time that can be given;
+  // nobody else can decide about their keys meanwhile.
+  const bool Troubled = Now - m_Ports.m_Leases.confirmedAt() > LogTrouble;
+  if (Troubled && !m_LogTroubled)
+    for (auto &[Fence, State] : m_Grants)
+      State.m_NextGrant = Now;
+  m_LogTroubled = Troubled;
   for (const OwnedRange &Each : m_Table->ranges()) {
     GrantState &State = m_Grants[Each.m_Fence];
     if (State.m_InFlight || Now < State.m_NextGrant ||
         isReleasing(Each.m_Fence))
       continue;
     const TargetInfo *Owner = lifeOf(Each);
-    if (!Owner)
+    if (!Owner || State.m_OwnerGone)
       continue;
-    // Once an owner has refused earlier fences, one that is to lose its keys
-    // needs no further time.
-    if (State.m_Accepted && isOrphaned(Each, Now) && isMoving(Each.m_Fence))
+    // An owner that is to lose its keys needs no further time, once it refuses
+    // earlier fences or can't be reached.
+    const bool Known = State.m_Accepted || State.m_UnreachableInRow > 0;
+    if (Known && m_Usable.size() > 1 && isOrphaned(Each, Now))
       continue;
     sendGrant(Each, *Owner, Now);
   }
@@ -515,8 +523,7 @@
   GrantOrder Order;
   Order.m_Keys = Range.m_Keys;
   Order.m_Fence = Range.m_Fence;
-  Order.m_Hold = Now - m_LastRenewal > LogTrouble ? m_Times.m_LongestHold
-                                                  : m_Times.m_Hold;
+  Order.m_Hold = m_LogTroubled ? m_Times.m_LongestHold : m_Times.m_Hold;
   Order.m_Handover = State.m_Handover;
   // Noted before it is sent, in case the answer never comes.
   const TimePoint Arrived = Now + m_Ports.m_Grants.grantTimeout();
@@ -552,12 +559,18 @@
     return;
   case OrderResult::Fenced:
     log(Severity::Warning, "grant_fenced", {{"fence", absl::StrCat(Fence)}});
-    State.m_NextGrant = Now + m_Times.m_Lease;
+    State.m_NextGrant = Now + FencedPause;
     resync();
     return;
   case OrderResult::Rejected:
     log(Severity::Error, "grant_rejected", {{"fence", absl::StrCat(Fence)}});
     return;
+  case OrderResult::OtherTarget:
+    // The life that held the keys is over.
+    State.m_HoldEnd = State.m_UnansweredUntil = Now;
+    State.m_OwnerGone = true;
+    State.m_NextGrant = Now + FencedPause;
+    return;
   case OrderResult::Unreachable:
     ++State.m_UnreachableInRow;
     State.m_HoldEnd = State.m_HoldEndBefore;
@@ -572,24 +585,6 @@
   }
 }
 
-void RangeKeeper::resignIfCutOff(TimePoint Now) {
-  size_t Reachable = 0;
-  size_t Lost = 0;
-  for (const OwnedRange &Each : m_Table->ranges()) {
-    if (!lifeOf(Each))
-      continue;
-    const GrantState &State = m_Grants[Each.m_Fence];
-    (State.m_UnreachableInRow >= UnreachableOrders ? Lost : Reachable) += 1;
-  }
-  if (Lost <= Reachable || Lost < 2)
-    return;
-  m_NoTakeoverUntil = Now + UnfitPause;
-  log(Severity::Warning, "most_owners_unreachable",
-      {{"unreachable", absl::StrCat(Lost)},
-       {"reachable", absl::StrCat(Reachable)}});
-  resign();
-}
-
 void RangeKeeper::setTargets(const std::map<std::string, TargetInfo> &Known,
                              const std::map<std::string, double> &Usable) {
   const TimePoint Now = m_Ports.m_Clock.now();
@@ -607,6 +602,13 @@
   if (!std::equal(Usable.begin(), Usable.end(), m_Usable.begin(),
                   m_Usable.end(), SameKeys))
     m_UsableSince = Now;
+  // A new life is not held responsible for the former one.
+  for (const auto &[Id, Info] : Next) {
+    const auto Former = m_Known.find(Id);
+    if (Former != m_Known.end() &&
+        Former->second.m_Incarnation != Info.m_Incarnation)
+      m_Shunned.erase(Id);
+  }
   m_Known = std::move(Next);
   m_Usable = Usable;
 }
--- a/src/keyowner/rangekeeper.h
+++ b/src/keyowner/rangekeeper.h
@@ -8,6 +8,7 @@
 #include "ports/clock.h"
 #include "ports/eventsink.h"
 #include "ports/grantchannel.h"
+#include "ports/leasesource.h"
 #include "ports/sharedlog.h"
 
 #include <deque>
@@ -21,13 +22,11 @@
 
 /// Times by which a pool's keys are kept.
 struct KeeperTimes {
-  /// For how long one lease record lets its holder decide, from before it was
-  /// sent.
-  Milliseconds m_Lease{1600};
-  Milliseconds m_LeaseRenewal{500};
-  /// For how long a grant holds, from its arrival.
-  Milliseconds m_Hold{3000};
-  Milliseconds m_GrantRenewal{800};
+  /// For how long a grant holds, from its arrival. Shorter ones lapse before
+  /// another host has taken over from a lost one; longer ones keep a lost
+  /// owner's keys unserved for longer.
+  Milliseconds m_Hold{2700};
+  Milliseconds m_GrantRenewal{700};
   /// Longest hold that targets accept. Granted while the log does not answer,
   /// so that owners outlast its outage.
   Milliseconds m_LongestHold{10'000};
@@ -36,21 +35,23 @@
   Milliseconds m_Settling{1000};
 };
 
-/// Keeps one pool's keys assigned. Every entry host runs one; the hosts agree
-/// through a topic of the log in which each append names the offset at which
-/// the topic has to end, so that decisions are taken one after the other and
-/// on the newest state.
+/// Keeps one pool's keys assigned. Every entry host runs one; the one with the
+/// pool's lease decides. Leases may overlap, so the hosts agree through a topic
+/// of the log in which each append names the offset at which the topic has to
+/// end: decisions are taken one after the other and on the newest state.
 ///
-/// The holder of the lease plans moves, records them and only then grants. A
-/// key is granted to another target only after its former owner has released
-/// it under a grant of the same holder, or after the longest hold that anybody
-/// may have given it has run out. See docs/design/platform.md.
+/// A holder begins by recording a term of its own with new fences. It plans
+/// moves, records them and only then grants. A key is granted to another target
+/// only after its former owner has released it under a grant of the same term,
+/// or after the longest hold that anybody may have given it has run out. See
+/// docs/design/platform.md.
 class RangeKeeper {
 public:
   struct Parts {
     const Clock &m_Clock;
     SharedLog &m_Log;
     GrantChannel &m_Grants;
+    const LeaseSource &m_Leases;
     EventSink &m_Events;
   };
 
@@ -73,11 +74,9 @@
                   const std::map<std::string, double> &Usable);
   /// A request for that key arrived.
   void noteRequest(uint32_t Key) { m_Load.note(Key); }
-  /// Load per capacity from which targets are relieved.
+  /// Requests a second of this host, per unit of capacity, from which a target
+  /// gives keys away.
   void setCrowdedLoad(double Value) { m_CrowdedLoad = Value; }
-  /// Gives the lease up, so that another host takes over at once.
-  void resign();
-
   /// Null until the state was read.
   KeyTablePtr table() const { return m_Table; }
   const std::string &pool() const { return m_Pool; }
@@ -87,6 +86,12 @@
   bool isSynced() const { return m_Follower.isSynced(); }
 
 private:
+  /// A target that could not be reached, and until when it gets no keys.
+  struct Shunned {
+    TimePoint m_Until{};
+    Duration m_Length{};
+  };
+
   /// What is known of the grants of one assignment.
   struct GrantState {
     /// Until when the owner may hold the keys, on this host's clock.
@@ -101,6 +106,8 @@
     /// True once the owner has accepted a grant of this holder, which makes it
     /// refuse those of former ones.
     bool m_Accepted = false;
+    /// Another target has the owner's address.
+    bool m_OwnerGone = false;
     int m_UnreachableInRow = 0;
     std::string m_Handover;
   };
@@ -122,10 +129,8 @@
   void fold(const KeyedPage &Page);
   void foldRecord(const KeyedRecord &Record);
   void adopt(KeyTablePtr Table);
-  void considerTakeover(TimePoint Now);
   void takeOver(TimePoint Now);
   void stepDown(const char *Why);
-  void renewLease(TimePoint Now);
   void append(std::vector<KeyedRecord> Records,
               std::function<void()> Accepted);
   void assignFirst(TimePoint Now);
@@ -134,16 +139,18 @@
   void recordMoves();
   void planMoves(TimePoint Now);
   void startMoves(const std::vector<PlannedMove> &Plan, TimePoint Now);
+  void shun(const std::string &Id, TimePoint Now);
+  bool hasNewLife(const OwnedRange &Range) const;
   bool isOrphaned(const OwnedRange &Range, TimePoint Now) const;
   void renewGrants(TimePoint Now);
   void sendGrant(const OwnedRange &Range, const TargetInfo &To, TimePoint Now);
   void grantDone(uint64_t Fence, uint64_t Term, TimePoint Sent,
                  Milliseconds Hold, OrderResult Result);
-  void resignIfCutOff(TimePoint Now);
   const TargetInfo *lifeOf(const OwnedRange &Range) const;
   bool isMoving(uint64_t Fence) const;
   bool isReleasing(uint64_t Fence) const;
-  Milliseconds holdBound(Milliseconds Hold) const;
+  bool hasLease(TimePoint Now) const;
+  static Milliseconds holdBound(Milliseconds Hold);
   void log(Severity Level, const char *Name, EventSink::Details Fields);
 
   const std::string m_Host;
@@ -164,19 +171,17 @@
   bool m_AppendPending = false;
   KeyTablePtr m_Table;
   OwnerLease m_Lease;
-  TimePoint m_LeaseSeen{};
 
   bool m_Holding = false;
-  TimePoint m_AuthorityEnd{};
-  TimePoint m_LastRenewal{};
-  TimePoint m_NextRenewal{};
-  TimePoint m_NoTakeoverUntil{};
   TimePoint m_TookOver{};
+  /// True while grants are given for the longest time.
+  bool m_LogTroubled = false;
 
   std::map<std::string, TargetInfo> m_Known;
   std::map<std::string, double> m_Usable;
   TimePoint m_UsableSince{};
   std::map<uint64_t, GrantState> m_Grants;
+  std::map<std::string, Shunned> m_Shunned;
   std::deque<Move> m_Moves;
   KeyLoad m_Load;
   double m_CrowdedLoad = 0;
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -31,15 +31,16 @@
 
 namespace {
 
-constexpr const char *HostsTopic = "hosts";
 /// Grain of everything that is due at some time.
 constexpr Milliseconds TickInterval{50};
 /// How long a read of the operators' topic waits. A connection that went silent
 /// delays a config by this and the call's timeout at most.
-constexpr Milliseconds ConfigWait{800};
+constexpr Milliseconds ConfigWait{1000};
 /// Pause between reads of the membership, whose entries change at every
 /// heartbeat.
-constexpr Milliseconds MembershipPause{400};
+constexpr Milliseconds MembershipPause{700};
+/// How often the keepers of keys are told how fast targets are.
+constexpr Milliseconds RatingInterval{500};
 /// From the stop signal until idle connections are closed: the balancer needs
 /// two failed readiness checks, a second apart, to turn callers away.
 constexpr Milliseconds IdleCloseDelay{3500};
@@ -75,9 +76,10 @@
             m_Time,
             [this](const Endpoint &Address) { return makeLinks(Address); },
             m_Events),
-        m_Hosts(Config.m_Host, HostsTopic, m_Store, m_Time),
-        m_Keepers(newHostId(Config.m_Host), keeperTimes(Config),
-                  {m_Time, m_Store, m_Grants, m_Events}, m_Targets),
+        m_HostId(newHostId(Config.m_Host)),
+        m_Hosts(m_HostId, m_Store, m_Time, m_Events),
+        m_Keepers(m_HostId, keeperTimes(Config),
+                  {m_Time, m_Store, m_Grants, m_Hosts, m_Events}, m_Targets),
         m_Dispatcher(m_Loop, m_Dialect,
                      {m_Time, m_Targets, m_Hosts, m_Metrics, Config.m_Host,
                       Config.m_FailureDomain, sharedLimits(Config)},
@@ -212,10 +214,24 @@
       return;
     }
     m_Hosts.tick();
+    if (Now >= m_NextRating) {
+      m_NextRating = Now + RatingInterval;
+      rateTargets();
+    }
     m_Keepers.tick();
     m_Dispatcher.tick();
   }
 
+  /// Passes on what requests have taught about the targets of keyed pools.
+  void rateTargets() {
+    if (!m_Dispatcher.routes())
+      return;
+    for (const Pool &Each : m_Dispatcher.routes()->tables().pools())
+      if (const PoolDispatcher *Found = m_Dispatcher.findPool(Each.name()))
+        m_Keepers.setUsualTime(Each.name(), Found->usualTime(),
+                               m_Hosts.hosts());
+  }
+
   void waitForSignal() {
     m_Signals.async_wait([this](const error_code &Error, int Signal) {
       if (Error)
@@ -234,14 +250,12 @@
     m_StopBegan = m_Time.now();
     m_Events.event(Severity::Info, "stopping", {});
     m_Callers.sessions().drainAll(false);
-    m_Keepers.resign();
     m_Hosts.leave();
   }
 
   void continueStop(TimePoint Now) {
     m_Dispatcher.tick();
-    if (m_Keepers.holdsAny())
-      m_Keepers.resign();
+    m_Keepers.tick();
     const Duration Passed = Now - m_StopBegan;
     if (Passed < IdleCloseDelay)
       return;
@@ -265,7 +279,8 @@
   GrantClient m_Grants;
   TargetDirectory m_Directory;
   TargetRegistry m_Targets;
-  HostPresence m_Hosts;
+  const std::string m_HostId;
+  HostMembership m_Hosts;
   KeeperSet m_Keepers;
   Dispatcher m_Dispatcher;
   TopicFollower m_Operators;
@@ -279,6 +294,7 @@
   asio::signal_set m_Signals;
   bool m_Stopping = false;
   TimePoint m_StopBegan{};
+  TimePoint m_NextRating{};
   size_t m_Cut = 0;
 };
 
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -69,8 +69,15 @@
 void CallerSession::drain(bool CloseIdle) {
   m_Draining = true;
   m_CloseIdle = CloseIdle;
-  if (m_CloseIdle && isIdle())
+  if (m_CloseIdle && isIdle()) {
     abort();
+    return;
+  }
+  // A caller that always has a request under way would never let go.
+  if (m_CloseIdle && !m_Slots.empty() && !m_Closing) {
+    m_Closing = true;
+    m_Slots.back()->m_Last = true;
+  }
 }
 
 void CallerSession::abort() {
--- a/src/ports/grantchannel.h
+++ b/src/ports/grantchannel.h
@@ -42,6 +42,8 @@
   Fenced,
   /// The target refused the order as wrong.
   Rejected,
+  /// Another target has the address, so that the one meant is gone.
+  OtherTarget,
   /// The target can't have got the order.
   Unreachable,
   /// No answer came; the order may be carried out, also later.
--- /dev/null
+++ b/tests/keyowner/keytabletest.cpp
@@ -0,0 +1,55 @@
+#include "keyowner/keytablecodec.h"
+
+#include <doctest.h>
+
+using namespace monsoon;
+
+TEST_CASE("assigning a part of a range leaves the rest with its owner") {
+  KeyTable::Builder Builder;
+  Builder.assign({0, 999}, "a", 1).assign({200, 299}, "b", 2);
+  const KeyTable Table = Builder.build();
+  REQUIRE(Table.ranges().size() == 3);
+  CHECK(Table.find(199)->m_Owner == "a");
+  CHECK(Table.find(200)->m_Owner == "b");
+  CHECK(Table.find(299)->m_Owner == "b");
+  CHECK(Table.find(300)->m_Owner == "a");
+  CHECK(Table.find(1000) == nullptr);
+}
+
+TEST_CASE("fences name assignments and rise") {
+  KeyTable::Builder Builder;
+  Builder.assign({0, 999}, "a", 1).assign({200, 299}, "b", 2);
+  const KeyTable Table = Builder.build();
+  CHECK(Table.find(200)->m_Fence > Table.find(0)->m_Fence);
+  CHECK(Table.find(300)->m_Fence != Table.find(0)->m_Fence);
+  const KeyTable Renewed = KeyTable::Builder(Table).renewFences().build();
+  for (const OwnedRange &Each : Renewed.ranges())
+    CHECK(Each.m_Fence >= Table.nextFence());
+}
+
+TEST_CASE("a table survives its record") {
+  KeyTable::Builder Builder;
+  Builder.assign({0, 65'535}, "a", 1'700'000'000'000).assign({7, 7}, "b", 2);
+  const KeyTable Table = Builder.build();
+  const auto Read = decodeKeyTable(encodeKeyTable(Table));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value() == Table);
+}
+
+TEST_CASE("a record with overlapping ranges or missing fields is unreadable") {
+  CHECK(!decodeKeyTable("{}").has_value());
+  CHECK(!decodeKeyTable("").has_value());
+  CHECK(!decodeKeyTable(
+             R"({"next_fence":3,"ranges":[
+                 {"first":0,"last":9,"owner":"a","life":1,"fence":1},
+                 {"first":9,"last":20,"owner":"b","life":1,"fence":2}]})")
+             .has_value());
+  CHECK(!decodeLease(R"({"holder":"a"})").has_value());
+}
+
+TEST_CASE("a lease survives its record") {
+  const OwnerLease Lease{"host-1#00ff", 12};
+  const auto Read = decodeLease(encodeLease(Lease));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value() == Lease);
+}
--- /dev/null
+++ b/tests/keyowner/rangeplannertest.cpp
@@ -0,0 +1,82 @@
+#include "keyowner/rangeplanner.h"
+
+#include <doctest.h>
+
+using namespace monsoon;
+
+namespace {
+
+/// Four targets with a quarter of the keys each.
+struct Quarters {
+  Quarters() {
+    KeyTable::Builder Builder;
+    for (uint32_t Index = 0; Index < 4; ++Index) {
+      const std::string Name(1, static_cast<char>('a' + Index));
+      Builder.assign({Index * 16'384, Index * 16'384 + 16'383}, Name, 1);
+      m_Input.m_Capacity[Name] = 4;
+    }
+    m_Table = Builder.build();
+    m_Input.m_Table = &m_Table;
+    m_Input.m_Load = &m_Load;
+    m_Input.m_CrowdedLoad = 1.5;
+  }
+
+  KeyTable m_Table;
+  KeyLoad m_Load;
+  PlanInput m_Input;
+};
+
+} // namespace
+
+TEST_CASE("the first plan covers all keys") {
+  const auto Moves = RangePlanner::initial({{"a", 4}, {"b", 4}, {"c", 4}});
+  REQUIRE(Moves.size() == 3);
+  CHECK(Moves[0].m_Keys.m_First == 0);
+  CHECK(Moves[1].m_Keys.m_First == Moves[0].m_Keys.m_Last + 1);
+  CHECK(Moves[2].m_Keys.m_First == Moves[1].m_Keys.m_Last + 1);
+  CHECK(Moves[2].m_Keys.m_Last == KeyCount - 1);
+}
+
+TEST_CASE("nothing moves while nobody is crowded") {
+  Quarters Given;
+  for (uint32_t Key = 0; Key < KeyCount; Key += 2048)
+    Given.m_Load.note(Key);
+  CHECK(RangePlanner::plan(Given.m_Input).empty());
+}
+
+TEST_CASE("orphaned keys are spread and go to nobody who lost them") {
+  Quarters Given;
+  Given.m_Input.m_Orphaned.insert(Given.m_Table.find(0)->m_Fence);
+  Given.m_Input.m_Capacity.erase("a");
+  const auto Moves = RangePlanner::plan(Given.m_Input);
+  REQUIRE(Moves.size() >= 2);
+  uint32_t Next = 0;
+  for (const PlannedMove &Each : Moves) {
+    CHECK(Each.m_Keys.m_First == Next);
+    CHECK(Each.m_From == "a");
+    CHECK(Each.m_To != "a");
+    Next = Each.m_Keys.m_Last + 1;
+  }
+  CHECK(Next == 16'384);
+}
+
+TEST_CASE("a newcomer gets keys") {
+  Quarters Given;
+  Given.m_Input.m_Capacity["e"] = 4;
+  const auto Moves = RangePlanner::plan(Given.m_Input);
+  REQUIRE(Moves.size() == 1);
+  CHECK(Moves[0].m_To == "e");
+}
+
+TEST_CASE("a crowded target gives away neighbours of its hot key, few keys at "
+          "a time") {
+  Quarters Given;
+  for (int Count = 0; Count < 60; ++Count)
+    Given.m_Load.note(100);
+  for (uint32_t Key = 101; Key < 141; ++Key)
+    Given.m_Load.note(Key);
+  const auto Moves = RangePlanner::plan(Given.m_Input);
+  REQUIRE(Moves.size() == 1);
+  CHECK(Moves[0].m_From == "a");
+  CHECK(!Moves[0].m_Keys.contains(100));
+}
