Load: a machine's slowness is read from its reports; fast owners get more keys

Change: the least report is the machine, the last one its moment; what answers take beyond that is an excess of the target. Keys weigh speed more than in proportion while there is room.

--- a/src/entry/keeperset.cpp
+++ b/src/entry/keeperset.cpp
@@ -3,6 +3,7 @@
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace monsoon {
@@ -11,6 +12,9 @@
 
 /// Part of its slots in use from which a target counts as crowded.
 constexpr double CrowdedUse = 0.7;
+/// How much more than in proportion fast targets are preferred when nothing is
+/// in use.
+constexpr double IdleSpeedExponent = 2;
 /// Targets count as at most this much faster or slower than usual.
 constexpr double MostSpeed = 2;
 
@@ -65,14 +69,12 @@
 
 double KeeperSet::capacityOf(const TargetInfo &Info) const {
   const TargetNodePtr Node = m_Targets.find(Info.m_Id);
-  const auto Usual = m_Usual.find(Info.m_Pool);
-  if (!Node || Usual == m_Usual.end())
+  if (!Node)
     return Info.m_Slots;
-  const Duration Own =
-      Node->load().serviceTime(m_Ports.m_Clock.now(), Usual->second);
-  const double Speed = std::chrono::duration<double>(Usual->second).count() /
-                       std::chrono::duration<double>(Own).count();
-  return Info.m_Slots * std::clamp(Speed, 1 / MostSpeed, MostSpeed);
+  const double Speed =
+      std::clamp(1 / Node->load().steadySlowness(m_Ports.m_Clock.now()),
+                 1 / MostSpeed, MostSpeed);
+  return Info.m_Slots * std::pow(Speed, m_SpeedExponent);
 }
 
 void KeeperSet::setUsualTime(const std::string &Pool, Duration Usual,
@@ -80,8 +82,16 @@
   RangeKeeper *Keeper = find(Pool);
   if (!Keeper)
     return;
-  m_Usual[Pool] = Usual;
   const double Seconds = std::chrono::duration<double>(Usual).count();
+  // With room to spare, keys belong where answers are fast; without, every
+  // target gets what it can do.
+  double Slots = 0;
+  for (const auto &[Id, Info] : m_Known)
+    if (Info.m_Pool == Pool)
+      Slots += Info.m_Slots;
+  const double Use = Keeper->requestRate() * static_cast<double>(Hosts) *
+                     Seconds / std::max(1.0, Slots);
+  m_SpeedExponent = 1 + IdleSpeedExponent * std::max(0.0, 1 - Use / CrowdedUse);
   Keeper->setCrowdedLoad(CrowdedUse / Seconds /
                          static_cast<double>(std::max<size_t>(1, Hosts)));
   pass(*Keeper);
--- a/src/entry/keeperset.h
+++ b/src/entry/keeperset.h
@@ -47,7 +47,7 @@
   const TargetRegistry &m_Targets;
   std::function<void()> m_Changed;
   TargetMap m_Known;
-  std::map<std::string, Duration> m_Usual;
+  double m_SpeedExponent = 1;
   std::map<std::string, std::unique_ptr<RangeKeeper>> m_Keepers;
 };
 
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -245,16 +245,19 @@
 void PoolDispatcher::noteLoad(TargetNode &Target, const AttemptOutcome &Outcome,
                               bool Failed) {
   const TimePoint Now = m_Parts.m_Clock.now();
+  // The report tells how slow the machine was while the request ran.
+  if (Outcome.m_Facts.m_Load)
+    Target.load().noteReport(Now, *Outcome.m_Facts.m_Load);
   if (Outcome.m_Facts.m_NotExecuted || Outcome.m_Facts.m_WrongTarget) {
     Target.load().noteRefused(Now);
   } else {
-    Target.load().noteAnswered(Now, Outcome.m_Elapsed, Failed);
     if (!Failed)
-      m_Usual = scaled(m_Usual, 1 - UsualWeight) +
-                scaled(Target.load().serviceTime(Now, m_Usual), UsualWeight);
+      m_Usual =
+          scaled(m_Usual, 1 - UsualWeight) +
+          scaled(Target.load().ordinaryPart(Now, Outcome.m_Elapsed),
+                 UsualWeight);
+    Target.load().noteAnswered(Now, Outcome.m_Elapsed, m_Usual, Failed);
   }
-  if (Outcome.m_Facts.m_Load)
-    Target.load().noteReport(Now, *Outcome.m_Facts.m_Load);
   if (Outcome.m_Facts.m_WarmupLeft)
     Target.setWarmupLeft(Now, *Outcome.m_Facts.m_WarmupLeft);
 }
--- a/src/keyowner/rangekeeper.h
+++ b/src/keyowner/rangekeeper.h
@@ -74,6 +74,8 @@
                   const std::map<std::string, double> &Usable);
   /// A request for that key arrived.
   void noteRequest(uint32_t Key) { m_Load.note(Key); }
+  /// Requests a second that this host gets for the pool.
+  double requestRate() const { return m_Load.total(); }
   /// Requests a second of this host, per unit of capacity, from which a target
   /// gives keys away.
   void setCrowdedLoad(double Value) { m_CrowdedLoad = Value; }
--- a/src/policy/targetload.cpp
+++ b/src/policy/targetload.cpp
@@ -15,13 +15,19 @@
 /// requests of others end within about a service time; what a target's
 /// neighbours do changes several times a second; speed changes seldom.
 constexpr Duration OthersHalfLife = Milliseconds(300);
-constexpr Duration SlowdownHalfLife = Milliseconds(150);
+constexpr Duration SlownessHalfLife = Milliseconds(250);
 constexpr Duration ServiceHalfLife = std::chrono::seconds(6);
 constexpr Duration FailureHalfLife = std::chrono::seconds(3);
 /// A target that failed is left alone for this time, doubled per further
 /// failure up to the longest.
 constexpr Duration FirstSuspension = Milliseconds(250);
 constexpr Duration LongestSuspension = std::chrono::seconds(2);
+/// Machines are not taken to be faster than this.
+constexpr double LeastSlowness = 0.2;
+/// A target is not taken to be slower than this times what it reports.
+constexpr double MostExcess = 20;
+/// Factor by which the least report is forgotten with each report.
+constexpr double LeastRise = 1.002;
 /// Failures in a row without an answer that suspend a target.
 constexpr int FailuresToSuspend = 2;
 
@@ -40,21 +46,20 @@
 
 void TargetLoad::noteSent(TimePoint /*Now*/) { ++m_InFlight; }
 
-void TargetLoad::noteAnswered(TimePoint Now, Duration Elapsed, bool Failed) {
+void TargetLoad::noteAnswered(TimePoint Now, Duration Elapsed, Duration Usual,
+                              bool Failed) {
   m_InFlight = std::max(0, m_InFlight - 1);
   m_FailuresInRow = 0;
   m_SuspendedUntil = {};
   noteOutcome(Now, Failed);
   if (Failed)
     return;
-  // With more requests than slots a part of the time was spent waiting.
-  const double Load = 1 + m_InFlight + othersInFlight(Now);
-  const Duration Sample =
-      scaled(Elapsed, 1 / std::max(1.0, Load / m_Slots));
-  m_ServiceTime = m_ServiceTime
-                      ? scaled(*m_ServiceTime, 1 - ServiceWeight) +
-                            scaled(Sample, ServiceWeight)
-                      : Sample;
+  const double Ratio = std::chrono::duration<double>(Elapsed).count() /
+                       std::chrono::duration<double>(Usual).count() /
+                       reportedSlowness(Now) / crowding(Now);
+  m_Excess = std::clamp(excess(Now) * (1 - ServiceWeight) +
+                            Ratio * ServiceWeight,
+                        LeastSlowness, MostExcess);
   m_MeasuredAt = Now;
 }
 
@@ -82,9 +87,15 @@
 void TargetLoad::noteReport(TimePoint Now, const LoadReport &Report) {
   if (Report.m_Slots > 0)
     m_Slots = Report.m_Slots;
-  // The report counts the answered request itself no more.
-  m_Others = std::max(0, Report.m_Running + Report.m_Waiting - m_InFlight);
-  m_Slowdown = std::max(0.1, Report.m_Slowdown);
+  // The answered request is among this host's own, but not in the report.
+  m_Others = std::max(0, Report.m_Running + Report.m_Waiting + 1 - m_InFlight);
+  m_Reported = std::max(LeastSlowness, Report.m_Slowdown);
+  // The least report is that of the machine itself; it is let go slowly, since
+  // a target may be moved to another machine.
+  m_LeastReported = m_HasReported
+                        ? std::min(m_Reported, m_LeastReported * LeastRise)
+                        : m_Reported;
+  m_HasReported = true;
   m_ReportedAt = Now;
 }
 
@@ -92,15 +103,33 @@
   return m_Others * halved(Now - m_ReportedAt, OthersHalfLife);
 }
 
+double TargetLoad::crowding(TimePoint Now) const {
+  return std::max(1.0, (1 + m_InFlight + othersInFlight(Now)) / m_Slots);
+}
+
+double TargetLoad::reportedSlowness(TimePoint Now) const {
+  return m_LeastReported + (m_Reported - m_LeastReported) *
+                               halved(Now - m_ReportedAt, SlownessHalfLife);
+}
+
+double TargetLoad::excess(TimePoint Now) const {
+  return 1 + (m_Excess - 1) * halved(Now - m_MeasuredAt, ServiceHalfLife);
+}
+
+double TargetLoad::steadySlowness(TimePoint Now) const {
+  return m_LeastReported * excess(Now);
+}
+
+double TargetLoad::slowness(TimePoint Now) const {
+  return reportedSlowness(Now) * excess(Now);
+}
+
 Duration TargetLoad::serviceTime(TimePoint Now, Duration Usual) const {
-  Duration Base = Usual;
-  if (m_ServiceTime) {
-    const double Weight = halved(Now - m_MeasuredAt, ServiceHalfLife);
-    Base = scaled(*m_ServiceTime, Weight) + scaled(Usual, 1 - Weight);
-  }
-  const double Slowdown =
-      1 + (m_Slowdown - 1) * halved(Now - m_ReportedAt, SlowdownHalfLife);
-  return scaled(Base, std::max(0.2, Slowdown));
+  return scaled(Usual, slowness(Now));
+}
+
+Duration TargetLoad::ordinaryPart(TimePoint Now, Duration Elapsed) const {
+  return scaled(Elapsed, 1 / reportedSlowness(Now) / crowding(Now));
 }
 
 double TargetLoad::failureRate(TimePoint Now) const {
@@ -108,9 +137,7 @@
 }
 
 Duration TargetLoad::expectedTime(TimePoint Now, Duration Usual) const {
-  const double Load = 1 + m_InFlight + othersInFlight(Now);
-  const Duration Once =
-      scaled(serviceTime(Now, Usual), std::max(1.0, Load / m_Slots));
+  const Duration Once = scaled(serviceTime(Now, Usual), crowding(Now));
   // A failed request costs its time and has to be sent again.
   return scaled(Once, 1 / std::max(0.1, 1 - failureRate(Now)));
 }
--- a/src/policy/targetload.h
+++ b/src/policy/targetload.h
@@ -3,8 +3,6 @@
 
 #include "core/targetinfo.h"
 
-#include <optional>
-
 namespace monsoon {
 
 /// What an entry host knows of one target's load: its own requests in flight,
@@ -15,8 +13,10 @@
   explicit TargetLoad(int Slots);
 
   void noteSent(TimePoint Now);
-  /// An answer came for work that was run.
-  void noteAnswered(TimePoint Now, Duration Elapsed, bool Failed);
+  /// An answer came for work that was run, and took this long. Usual is what
+  /// such work takes on a machine of ordinary speed.
+  void noteAnswered(TimePoint Now, Duration Elapsed, Duration Usual,
+                    bool Failed);
   /// The target stated that it did not run the request.
   void noteRefused(TimePoint Now);
   /// No answer came; Blamed is false if the caller left first.
@@ -37,9 +37,17 @@
   /// True if the next request is the first one after a suspension.
   bool isOnTrial() const { return m_FailuresInRow > 0; }
 
-  /// Time that one request takes when none waits. Usual is that of the pool,
-  /// to which the estimate returns while nothing is measured.
+  /// How much longer than on an ordinary machine work takes here, apart from
+  /// what the machine's neighbours do just now.
+  double steadySlowness(TimePoint Now) const;
+  /// The same as things are now.
+  double slowness(TimePoint Now) const;
+
+  /// Time that one request takes when none waits.
   Duration serviceTime(TimePoint Now, Duration Usual) const;
+  /// Part of a time that would have passed on an ordinary machine without
+  /// waiting.
+  Duration ordinaryPart(TimePoint Now, Duration Elapsed) const;
 
   /// Part of the requests that failed or were refused lately.
   double failureRate(TimePoint Now) const;
@@ -48,6 +56,10 @@
   Duration expectedTime(TimePoint Now, Duration Usual) const;
 
 private:
+  /// Requests per slot, at least one.
+  double crowding(TimePoint Now) const;
+  double reportedSlowness(TimePoint Now) const;
+  double excess(TimePoint Now) const;
   void noteOutcome(TimePoint Now, bool Failed);
   void suspend(TimePoint Now);
 
@@ -55,12 +67,17 @@
   int m_InFlight = 0;
   int m_FailuresInRow = 0;
   TimePoint m_SuspendedUntil{};
-  std::optional<Duration> m_ServiceTime;
+  /// Measured times relative to those that the reports made expect.
+  double m_Excess = 1;
   TimePoint m_MeasuredAt{};
   double m_FailureRate = 0;
   TimePoint m_RatedAt{};
   double m_Others = 0;
-  double m_Slowdown = 1;
+  /// The last reported slowness, and the least one, to which it returns when
+  /// the neighbours are quiet.
+  double m_Reported = 1;
+  double m_LeastReported = 1;
+  bool m_HasReported = false;
   TimePoint m_ReportedAt{};
 };
 
