--- a/src/codec/gatewaysettingscodec.cpp
+++ b/src/codec/gatewaysettingscodec.cpp
@@ -54,6 +54,7 @@
   Result.m_Callers = readAddress(Reader, "callers");
   Result.m_Readiness = readAddress(Reader, "readiness");
   Result.m_Metrics = readAddress(Reader, "metrics");
+  Result.m_Peers = readAddress(Reader, "peers");
   Result.m_Log = readAddress(Reader, "log");
   Result.m_RetryRatio =
       readReal(Reader, File.value(), "retry_ratio", Result.m_RetryRatio);
--- a/src/core/gatewaysettings.h
+++ b/src/core/gatewaysettings.h
@@ -13,6 +13,8 @@
   Endpoint m_Callers;
   Endpoint m_Readiness;
   Endpoint m_Metrics;
+  /// Where reports of the other entry hosts are received.
+  Endpoint m_Peers;
   Endpoint m_Log;
   /// Further sends per request that a pool may get, over all hosts.
   double m_RetryRatio = 0.1;
--- a/src/entry/keeperset.cpp
+++ b/src/entry/keeperset.cpp
@@ -27,9 +27,9 @@
 
 void KeeperSet::setRoutes(const RouteIndex &Routes) {
   for (const Pool &Each : Routes.tables().pools()) {
-    auto &Keeper = m_Keepers[Each.name()];
-    if (!Each.isOwnedByKey() || Keeper)
+    if (!Each.isOwnedByKey() || find(Each.name()))
       continue;
+    auto &Keeper = m_Keepers[Each.name()];
     Keeper = std::make_unique<RangeKeeper>(
         m_Host, Each.name(), absl::StrCat("owners.", Each.name()), m_Times,
         m_Ports);
@@ -78,7 +78,7 @@
 }
 
 void KeeperSet::setUsualTime(const std::string &Pool, Duration Usual,
-                             size_t Hosts) {
+                             double Unknown) {
   RangeKeeper *Keeper = find(Pool);
   if (!Keeper)
     return;
@@ -89,14 +89,27 @@
   for (const auto &[Id, Info] : m_Known)
     if (Info.m_Pool == Pool)
       Slots += Info.m_Slots;
-  const double Use = Keeper->requestRate() * static_cast<double>(Hosts) *
-                     Seconds / std::max(1.0, Slots);
+  const double Use = Keeper->requestRate() * Unknown * Seconds / std::max(1.0, Slots);
   m_SpeedExponent = 1 + IdleSpeedExponent * std::max(0.0, 1 - Use / CrowdedUse);
-  Keeper->setCrowdedLoad(CrowdedUse / Seconds /
-                         static_cast<double>(std::max<size_t>(1, Hosts)));
+  Keeper->setCrowdedLoad(CrowdedUse / Seconds / Unknown);
   pass(*Keeper);
 }
 
+void KeeperSet::takeCounts(HostReport &Report) {
+  for (const auto &[Pool, Keeper] : m_Keepers) {
+    auto Counts = Keeper->takeCounts();
+    if (!Counts.empty())
+      Report.m_KeyCounts.emplace(Pool, std::move(Counts));
+  }
+}
+
+void KeeperSet::noteReport(const HostReport &Report) {
+  for (const auto &[Pool, Counts] : Report.m_KeyCounts)
+    if (RangeKeeper *Keeper = find(Pool))
+      for (const auto &[Key, Count] : Counts)
+        Keeper->noteRequestsElsewhere(Key, Count);
+}
+
 void KeeperSet::tick() {
   for (const auto &[Pool, Keeper] : m_Keepers)
     Keeper->tick();
--- a/src/entry/keeperset.h
+++ b/src/entry/keeperset.h
@@ -2,6 +2,7 @@
 #define MONSOON_ENTRY_KEEPERSET_H
 
 #include "core/routeindex.h"
+#include "core/hostreport.h"
 #include "entry/targetregistry.h"
 #include "keyowner/rangekeeper.h"
 
@@ -29,8 +30,11 @@
   void targetsChanged(const TargetMap &Known);
   void tick();
   /// Tells what a pool's targets bear: the time that a request usually takes,
-  /// and how many hosts send them.
-  void setUsualTime(const std::string &Pool, Duration Usual, size_t Hosts);
+  /// and how many times as many requests there are as are known of.
+  void setUsualTime(const std::string &Pool, Duration Usual, double Unknown);
+  /// Adds what arrived here since the last call to a report.
+  void takeCounts(HostReport &Report);
+  void noteReport(const HostReport &Report);
 
   RangeKeeper *find(const std::string &Pool) const;
   /// True once the owners of every pool are known.
--- a/src/entry/targetregistry.cpp
+++ b/src/entry/targetregistry.cpp
@@ -75,6 +75,21 @@
   return Result;
 }
 
+std::map<std::string, int> TargetRegistry::inFlight() const {
+  std::map<std::string, int> Result;
+  for (const auto &[Id, Node] : m_Nodes)
+    if (Node->load().inFlight() > 0)
+      Result.emplace(Id, Node->load().inFlight());
+  return Result;
+}
+
+void TargetRegistry::noteOthers(
+    const std::function<int(const std::string &Id)> &InFlight) {
+  const TimePoint Now = m_Clock.now();
+  for (const auto &[Id, Node] : m_Nodes)
+    Node->load().noteOthers(Now, InFlight(Id));
+}
+
 bool TargetRegistry::isUsable(const TargetNode &Node) const {
   return !Node.info().m_Draining && !Node.isWarmthDoubted() &&
          !isDomainOut(Node.info().m_FailureDomain);
--- a/src/entry/targetregistry.h
+++ b/src/entry/targetregistry.h
@@ -30,6 +30,11 @@
   /// The targets of a pool, those that may not be used included.
   std::vector<TargetNodePtr> ofPool(const std::string &Pool) const;
 
+  /// Requests that this host has in flight, by target.
+  std::map<std::string, int> inFlight() const;
+  /// Passes on what the other hosts have in flight.
+  void noteOthers(const std::function<int(const std::string &Id)> &InFlight);
+
   /// True if new work may go to the target at all.
   bool isUsable(const TargetNode &Node) const;
   bool isDomainOut(const std::string &Domain) const {
--- a/src/keyowner/keyload.cpp
+++ b/src/keyowner/keyload.cpp
@@ -13,9 +13,10 @@
 
 KeyLoad::KeyLoad() : m_ByKey(KeyCount, 0.0F) {}
 
-void KeyLoad::note(uint32_t Key) {
-  m_ByKey[Key] += 1 - KeptPerSecond;
-  m_Total += 1 - KeptPerSecond;
+void KeyLoad::note(uint32_t Key, uint32_t Count) {
+  const float Rate = static_cast<float>(Count) * (1 - KeptPerSecond);
+  m_ByKey[Key] += Rate;
+  m_Total += Rate;
 }
 
 void KeyLoad::fade() {
--- a/src/keyowner/keyload.h
+++ b/src/keyowner/keyload.h
@@ -7,13 +7,12 @@
 
 namespace monsoon {
 
-/// Requests per key and second, with old ones fading out. One host sees only its part of
-/// them, but callers are spread without regard to keys, so the parts are alike.
+/// Requests per key and second, with old ones fading out.
 class KeyLoad {
 public:
   KeyLoad();
 
-  void note(uint32_t Key);
+  void note(uint32_t Key, uint32_t Count = 1);
   /// Lets what was noted fade; called once a second.
   void fade();
 
--- a/src/keyowner/rangekeeper.h
+++ b/src/keyowner/rangekeeper.h
@@ -17,6 +17,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 
 namespace monsoon {
 
@@ -72,12 +73,24 @@
   /// their capacity.
   void setTargets(const std::map<std::string, TargetInfo> &Known,
                   const std::map<std::string, double> &Usable);
-  /// A request for that key arrived.
-  void noteRequest(uint32_t Key) { m_Load.note(Key); }
-  /// Requests a second that this host gets for the pool.
+  /// A request for that key arrived here.
+  void noteRequest(uint32_t Key) {
+    m_Load.note(Key);
+    ++m_Counts[Key];
+  }
+  /// Requests for that key arrived at another host.
+  void noteRequestsElsewhere(uint32_t Key, uint32_t Count) {
+    if (Key < KeyCount)
+      m_Load.note(Key, Count);
+  }
+  /// The requests that arrived here since the last call, by key.
+  std::map<uint32_t, uint32_t> takeCounts() {
+    return std::exchange(m_Counts, {});
+  }
+  /// Requests a second that are known of.
   double requestRate() const { return m_Load.total(); }
-  /// Requests a second of this host, per unit of capacity, from which a target
-  /// gives keys away.
+  /// Known requests a second, per unit of capacity, from which a target gives
+  /// keys away.
   void setCrowdedLoad(double Value) { m_CrowdedLoad = Value; }
   /// Null until the state was read.
   KeyTablePtr table() const { return m_Table; }
@@ -186,6 +199,7 @@
   std::map<std::string, Shunned> m_Shunned;
   std::deque<Move> m_Moves;
   KeyLoad m_Load;
+  std::map<uint32_t, uint32_t> m_Counts;
   double m_CrowdedLoad = 0;
   TimePoint m_NextFade{};
   TimePoint m_NextPlan{};
--- a/src/membership/hostmembership.cpp
+++ b/src/membership/hostmembership.cpp
@@ -91,19 +91,23 @@
 }
 
 HostShare HostMembership::share() const {
-  std::set<std::string> Hosts;
-  for (const auto &[Host, Until] : m_CountedUntil)
-    Hosts.insert(Host);
   const bool InTouch = m_LastMembers != TimePoint{} &&
                        m_LastJoin != TimePoint{} &&
                        m_Clock.now() - m_LastJoin < Isolation;
-  return HostShare(m_Host, std::move(Hosts), InTouch);
+  return HostShare(m_Host, names(), InTouch);
 }
 
 size_t HostMembership::hosts() const {
   return m_CountedUntil.size() + (m_CountedUntil.count(m_Host) > 0 ? 0 : 1);
 }
 
+std::set<std::string> HostMembership::names() const {
+  std::set<std::string> Names{m_Host};
+  for (const auto &[Host, Until] : m_CountedUntil)
+    Names.insert(Host);
+  return Names;
+}
+
 TimePoint HostMembership::heldUntil(const std::string &Name) const {
   const auto Duty =
       static_cast<uint32_t>(stableHash(Name) % m_Group.duties());
--- a/src/membership/hostmembership.h
+++ b/src/membership/hostmembership.h
@@ -34,6 +34,8 @@
   HostShare share() const;
   /// Hosts that are there, this one included.
   size_t hosts() const;
+  /// Their names.
+  std::set<std::string> names() const;
 
   // LeaseSource
   TimePoint heldUntil(const std::string &Name) const override;
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -1,11 +1,13 @@
 #include "monsoonstand/gateway.h"
 
-#include "core/keyspace.h"
 #include "entry/dispatcher.h"
 #include "entry/keeperset.h"
 #include "membership/targetdirectory.h"
+#include "membership/workexchange.h"
 #include "monsoonstand/statushandler.h"
 #include "net/acceptor.h"
+#include "net/address.h"
+#include "net/datagramchannel.h"
 #include "platform/grantclient.h"
 #include "platform/platformdialect.h"
 #include "platform/publishedtables.h"
@@ -31,6 +33,7 @@
 
 namespace {
 
+constexpr char PeerMark = '@';
 /// Grain of everything that is due at some time.
 constexpr Milliseconds TickInterval{50};
 /// How long a read of the operators' topic waits. A connection that went silent
@@ -47,9 +50,22 @@
 /// The process ends this long before the platform would kill it.
 constexpr Milliseconds StopMargin{300};
 
-std::string newHostId(const std::string &Name) {
+/// The id of this process: a restarted host must not be taken for the former
+/// one. It also tells the other hosts where it receives.
+std::string newHostId(const GatewaySettings &Config) {
   std::random_device Source;
-  return absl::StrCat(Name, "#", absl::Hex(Source(), absl::kZeroPad8));
+  return absl::StrCat(Config.m_Host, "#",
+                      absl::Hex(Source(), absl::kZeroPad8),
+                      std::string(1, PeerMark),
+                      endpointText(Config.m_Peers));
+}
+
+/// Where the host of that id receives.
+std::optional<Endpoint> peerAddress(const std::string &HostId) {
+  const size_t Mark = HostId.rfind(PeerMark);
+  if (Mark == std::string::npos)
+    return std::nullopt;
+  return parseEndpoint(HostId.substr(Mark + 1));
 }
 
 KeeperTimes keeperTimes(const GatewaySettings &Config) {
@@ -76,7 +92,7 @@
             m_Time,
             [this](const Endpoint &Address) { return makeLinks(Address); },
             m_Events),
-        m_HostId(newHostId(Config.m_Host)),
+        m_HostId(newHostId(Config)),
         m_Hosts(m_HostId, m_Store, m_Time, m_Events),
         m_Keepers(m_HostId, keeperTimes(Config),
                   {m_Time, m_Store, m_Grants, m_Hosts, m_Events}, m_Targets),
@@ -86,6 +102,10 @@
                      [this](const std::string &Pool) {
                        return m_Keepers.find(Pool);
                      }),
+        m_PeerChannel(m_Loop),
+        m_Work(
+            m_HostId, m_PeerChannel, m_Time, [this]() { return ownReport(); },
+            [this](const HostReport &Report) { noteReport(Report); }),
         m_Operators({OperatorTopic, ConfigWait, Milliseconds(0)}, m_Store,
                     m_Time,
                     [this](const KeyedPage &Page, bool Whole) {
@@ -214,6 +234,7 @@
       return;
     }
     m_Hosts.tick();
+    m_Work.tick();
     if (Now >= m_NextRating) {
       m_NextRating = Now + RatingInterval;
       rateTargets();
@@ -224,12 +245,34 @@
 
   /// Passes on what requests have taught about the targets of keyed pools.
   void rateTargets() {
+    std::map<std::string, Endpoint> Peers;
+    for (const std::string &Name : m_Hosts.names())
+      if (const auto Address = peerAddress(Name))
+        Peers.emplace(Name, *Address);
+    m_Work.setPeers(std::move(Peers));
     if (!m_Dispatcher.routes())
       return;
     for (const Pool &Each : m_Dispatcher.routes()->tables().pools())
       if (const PoolDispatcher *Found = m_Dispatcher.findPool(Each.name()))
-        m_Keepers.setUsualTime(Each.name(), Found->usualTime(),
-                               m_Hosts.hosts());
+        m_Keepers.setUsualTime(
+            Each.name(), Found->usualTime(),
+            static_cast<double>(m_Hosts.hosts()) /
+                static_cast<double>(m_Work.reportingHosts()));
+  }
+
+  HostReport ownReport() {
+    HostReport Report;
+    Report.m_InFlight = m_Targets.inFlight();
+    m_Keepers.takeCounts(Report);
+    return Report;
+  }
+
+  void noteReport(const HostReport &Report) {
+    m_Keepers.noteReport(Report);
+    if (m_Work.isComplete())
+      m_Targets.noteOthers([this](const std::string &Id) {
+        return m_Work.inFlightElsewhere(Id);
+      });
   }
 
   void waitForSignal() {
@@ -283,6 +326,8 @@
   HostMembership m_Hosts;
   KeeperSet m_Keepers;
   Dispatcher m_Dispatcher;
+  DatagramChannel m_PeerChannel;
+  WorkExchange m_Work;
   TopicFollower m_Operators;
   TopicFollower m_Members;
   StatusHandler m_ReadyHandler;
@@ -316,6 +361,12 @@
                             {{"detail", Listening.error().m_Message}});
     return ExitFailed;
   }
+  const auto Receiving = m_Parts->m_PeerChannel.listen(m_Settings.m_Peers);
+  if (!Receiving) {
+    m_Parts->m_Events.event(Severity::Error, "bind_failed",
+                            {{"detail", Receiving.error().m_Message}});
+    return ExitFailed;
+  }
   m_Parts->m_Events.event(Severity::Info, "started",
                           {{"domain", m_Settings.m_FailureDomain}});
   m_Parts->waitForSignal();
--- a/src/policy/targetload.cpp
+++ b/src/policy/targetload.cpp
@@ -96,11 +96,16 @@
                         ? std::min(m_Reported, m_LeastReported * LeastRise)
                         : m_Reported;
   m_HasReported = true;
-  m_ReportedAt = Now;
+  m_ReportedAt = m_OthersAt = Now;
+}
+
+void TargetLoad::noteOthers(TimePoint Now, int InFlight) {
+  m_Others = InFlight;
+  m_OthersAt = Now;
 }
 
 double TargetLoad::othersInFlight(TimePoint Now) const {
-  return m_Others * halved(Now - m_ReportedAt, OthersHalfLife);
+  return m_Others * halved(Now - m_OthersAt, OthersHalfLife);
 }
 
 double TargetLoad::crowding(TimePoint Now) const {
--- a/src/policy/targetload.h
+++ b/src/policy/targetload.h
@@ -24,6 +24,8 @@
   /// No connection could be opened.
   void noteUnreachable(TimePoint Now);
   void noteReport(TimePoint Now, const LoadReport &Report);
+  /// The other hosts have told how much they have in flight there.
+  void noteOthers(TimePoint Now, int InFlight);
 
   int inFlight() const { return m_InFlight; }
   int slots() const { return m_Slots; }
@@ -73,6 +75,7 @@
   double m_FailureRate = 0;
   TimePoint m_RatedAt{};
   double m_Others = 0;
+  TimePoint m_OthersAt{};
   /// The last reported slowness, and the least one, to which it returns when
   /// the neighbours are quiet.
   double m_Reported = 1;
--- /dev/null
+++ b/src/ports/peerchannel.h
@@ -0,0 +1,23 @@
+#ifndef MONSOON_PORTS_PEERCHANNEL_H
+#define MONSOON_PORTS_PEERCHANNEL_H
+
+#include "core/settings.h"
+
+#include <functional>
+#include <string>
+
+namespace monsoon {
+
+/// Short messages between entry hosts. They may be lost, late or doubled.
+class PeerChannel {
+public:
+  using Received = std::function<void(const std::string &Message)>;
+
+  virtual ~PeerChannel() = default;
+  virtual void send(const Endpoint &To, const std::string &Message) = 0;
+  virtual void onMessage(Received Callback) = 0;
+};
+
+} // namespace monsoon
+
+#endif
