Long answers stay in their failure domain; fewer calls to the store

Change: the preference for a target nearby grows with the bytes of a pool's requests and answers. The list of members is asked for when the group changes, else every 4 s; waiting reads of owners last 3 s.

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -59,6 +59,7 @@
   const std::string &pool() const { return m_Pool; }
   const RequestFacts &facts() const { return m_Facts; }
   const HttpRequest &request() const { return m_Request; }
+  size_t bodyBytes() const { return m_Body ? m_Body->size() : 0; }
   int64_t configVersion() const { return m_Routes->version(); }
   bool isIdempotent() const { return m_Route.isIdempotent(); }
   TimePoint arrived() const { return m_Arrived; }
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -16,9 +16,8 @@
 constexpr Milliseconds FirstUsualTime{150};
 /// Weight of the newest answer in the usual time.
 constexpr double UsualWeight = 0.03;
-/// Bytes between failure domains are paid for, so a target in another one has
-/// to be this much faster.
-constexpr double DistanceFactor = 1.25;
+/// Weight of the newest answer in the mean number of bytes.
+constexpr double BytesWeight = 0.05;
 /// A send counts as slow after this multiple of the expected time, but not
 /// before the part of the deadline.
 constexpr double SlowMultiple = 4;
@@ -73,7 +72,7 @@
 
 PoolDispatcher::PoolDispatcher(std::string Name, const Parts &Shared)
     : m_Name(std::move(Name)), m_Parts(Shared), m_Usual(FirstUsualTime),
-      m_Retries(Shared.m_Limits.m_Retries), m_Chooser(DistanceFactor) {}
+      m_Retries(Shared.m_Limits.m_Retries) {}
 
 void PoolDispatcher::submit(const ExchangePtr &Request) {
   m_Retries.noteRequest(m_Parts.m_Clock.now());
@@ -177,7 +176,8 @@
     Nodes.push_back(Each);
   }
   const int Index =
-      m_Chooser.choose(Candidates, Now, m_Usual, Nodes.size() == 1);
+      TargetChooser(TargetChooser::distanceFactor(m_MeanBytes))
+          .choose(Candidates, Now, m_Usual, Nodes.size() == 1);
   return Index < 0 ? nullptr : Nodes[static_cast<size_t>(Index)];
 }
 
@@ -208,6 +208,10 @@
     const bool Failed =
         Outcome.m_Answer.m_Status >= 500 || !isTrustworthy(Outcome);
     noteLoad(*Target, Outcome, Failed);
+    m_MeanBytes += BytesWeight * (static_cast<double>(
+                                      Outcome.m_Answer.m_Body.size() +
+                                      Request->bodyBytes()) -
+                                  m_MeanBytes);
     if (Request->isOver())
       break;
     if (Outcome.m_Facts.m_NotExecuted || Outcome.m_Facts.m_WrongTarget)
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -94,7 +94,8 @@
   double m_WarmRate = 0;
   Duration m_Usual;
   RetryWindow m_Retries;
-  TargetChooser m_Chooser;
+  /// Mean bytes of a request with its answer.
+  double m_MeanBytes = 0;
   /// Waiting requests by owner; all under the empty name where keys don't
   /// matter.
   std::map<std::string, PoolQueue> m_Lanes;
--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -13,9 +13,9 @@
 namespace {
 
 /// How long a read of the topic waits for records.
-constexpr Milliseconds ReadWait{2000};
+constexpr Milliseconds ReadWait{3000};
 /// A host whose last read is older does not try to take over.
-constexpr Milliseconds StaleRead{4000};
+constexpr Milliseconds StaleRead{5000};
 /// Targets' clocks may measure a hold this much too long.
 constexpr double SlowClock = 1.025;
 /// Covers the grain of timers.
--- a/src/membership/hostmembership.cpp
+++ b/src/membership/hostmembership.cpp
@@ -16,10 +16,10 @@
 constexpr Milliseconds JoinPause{400};
 /// Pause after a join that failed.
 constexpr Milliseconds JoinRetry{100};
-constexpr Milliseconds MembersPause{1500};
+constexpr Milliseconds MembersPause{4000};
 /// A host that left the list may go on for as long as it stays by its own
 /// count; afterwards others may use its part of the limits.
-constexpr Milliseconds Absence{3500};
+constexpr Milliseconds Absence{6000};
 /// A host that has not been confirmed for this long uses no part of them.
 constexpr Milliseconds Isolation{3000};
 
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -41,7 +41,7 @@
 constexpr Milliseconds ConfigWait{1000};
 /// Pause between reads of the membership, whose entries change at every
 /// heartbeat.
-constexpr Milliseconds MembershipPause{700};
+constexpr Milliseconds MembershipPause{850};
 /// How often the keepers of keys are told how fast targets are.
 constexpr Milliseconds RatingInterval{500};
 /// From the stop signal until idle connections are closed: the balancer needs
--- a/src/policy/targetchooser.cpp
+++ b/src/policy/targetchooser.cpp
@@ -13,8 +13,17 @@
 /// Penalty for a target that was tried before.
 constexpr double RepeatFactor = 1000;
 
+/// Factor for another failure domain without any bytes.
+constexpr double ShortDistance = 1.2;
+/// What each byte adds to it: 90 KB, a usual download, make it about 10.
+constexpr double DistancePerByte = 1e-4;
+
 } // namespace
 
+double TargetChooser::distanceFactor(double Bytes) {
+  return ShortDistance + DistancePerByte * Bytes;
+}
+
 bool TargetChooser::hasRoom(const TargetLoad &Load, TimePoint Now) {
   if (Load.isSuspended(Now))
     return false;
--- a/src/policy/targetchooser.h
+++ b/src/policy/targetchooser.h
@@ -23,10 +23,15 @@
 class TargetChooser {
 public:
   /// DistanceFactor multiplies the expected time of a target in another
-  /// failure domain, since bytes between domains are paid for.
+  /// failure domain.
   explicit TargetChooser(double DistanceFactor)
       : m_DistanceFactor(DistanceFactor) {}
 
+  /// The factor for requests that carry so many bytes both ways. Traffic
+  /// between failure domains is paid for, and for long answers it is worth more
+  /// than the work itself.
+  static double distanceFactor(double Bytes);
+
   /// True when a target takes one more request without queueing it for long.
   static bool hasRoom(const TargetLoad &Load, TimePoint Now);
 
