Waiting: late requests stand back and are told to return in time

Change: what can still meet its objective goes first; a request that would wait beyond its objective is refused on arrival, one that waits until then is told to come back. An owner's room for this host is what the others leave.

--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -93,6 +93,9 @@
 
   // QueuedRequest
   int priority() const override { return m_Route.priority(); }
+  TimePoint objective() const override {
+    return m_Arrived + m_Route.latencyObjective();
+  }
   TimePoint deadline() const override { return m_Deadline; }
 
   // PendingRequest
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -99,8 +99,8 @@
   if (!MustWait && place(Request))
     return;
   PoolQueue &Queue = m_Lanes[Lane];
-  if (!Queue.wouldServeInTime(m_Parts.m_Clock.now(), Request->priority(),
-                              Request->deadline(), m_Usual, roomOf(Lane))) {
+  if (!Queue.wouldServeBy(waitLimit(*Request), m_Parts.m_Clock.now(),
+                          Request->priority(), m_Usual, roomOf(Lane))) {
     if (Request->mayHaveRun())
       giveUp(Request, ErrorKind::AnswerLost, "no_time_to_retry");
     else
@@ -121,7 +121,11 @@
   double Slots = 0;
   if (!Lane.empty()) {
     const TargetNodePtr Owner = m_Parts.m_Targets.find(Lane);
-    Slots = Owner ? Owner->load().slots() : 0;
+    // With one place to go, a host may use what the others leave.
+    return Owner ? std::max(1.0, Owner->load().slots() -
+                                     Owner->load().othersInFlight(
+                                         m_Parts.m_Clock.now()))
+                 : 1.0;
   } else {
     for (const TargetNodePtr &Each : m_Parts.m_Targets.ofPool(m_Name))
       if (m_Parts.m_Targets.isUsable(*Each))
@@ -130,6 +134,17 @@
   return Slots / static_cast<double>(std::max<size_t>(1, m_Parts.m_Hosts.hosts()));
 }
 
+TimePoint PoolDispatcher::waitLimit(const Exchange &Request) const {
+  return std::min(Request.objective(), Request.deadline());
+}
+
+TimePoint PoolDispatcher::giveUpAt(const Exchange &Request) const {
+  // With its objective gone, there is still time to be served by another host
+  // or a new owner, if it is told now.
+  return std::min(Request.objective(),
+                  Request.deadline() - scaled(m_Usual, HopelessPart));
+}
+
 bool PoolDispatcher::place(const ExchangePtr &Request) {
   if (m_Parts.m_Clock.now() < Request->notBefore())
     return false;
@@ -322,7 +337,8 @@
   const auto Queue = m_Lanes.find(Lane);
   Duration Return = m_Usual;
   if (Queue != m_Lanes.end())
-    Return = Queue->second.expectedWait(Request->priority(), m_Usual,
+    Return = Queue->second.expectedWait(m_Parts.m_Clock.now(),
+                                        Request->priority(), m_Usual,
                                         roomOf(Lane));
   Return = std::clamp<Duration>(Return, ShortestReturn, LongestReturn);
   // Spread, so that a refused crowd does not return as one.
@@ -378,9 +394,10 @@
   if (!m_Keeper || m_Keeper->table() == m_SortedBy)
     return;
   m_SortedBy = m_Keeper->table();
+  const TimePoint Now = m_Parts.m_Clock.now();
   std::map<std::string, PoolQueue> Lanes;
   for (auto &[Lane, Queue] : m_Lanes)
-    Queue.offer([&](const PoolQueue::Item &Each) {
+    Queue.offer(Now, m_Usual, [&](const PoolQueue::Item &Each) {
       const auto Request = std::static_pointer_cast<Exchange>(Each);
       Request->setNotBefore({});
       Lanes[laneOf(*Request)].add(Each);
@@ -396,11 +413,11 @@
   for (auto &[Lane, Queue] : m_Lanes) {
     if (Queue.isEmpty())
       continue;
-    Queue.offer([&](const PoolQueue::Item &Each) {
+    Queue.offer(Now, m_Usual, [&](const PoolQueue::Item &Each) {
       const auto Request = std::static_pointer_cast<Exchange>(Each);
       if (Request->isOver())
         return PoolQueue::Verdict::Taken;
-      if (Request->deadline() - Now < scaled(m_Usual, HopelessPart)) {
+      if (Now >= giveUpAt(*Request)) {
         Hopeless.push_back(Request);
         return PoolQueue::Verdict::Taken;
       }
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -75,6 +75,10 @@
   bool paceAllows(const TargetNode &Node, TimePoint Now) const;
   void placeOrWait(const ExchangePtr &Request);
   std::string laneOf(const Exchange &Request) const;
+  /// A request that would be answered later than this is not made to wait.
+  TimePoint waitLimit(const Exchange &Request) const;
+  /// Moment at which a waiting request is told to come back.
+  TimePoint giveUpAt(const Exchange &Request) const;
   /// Requests that this host may have served side by side in a lane.
   double roomOf(const std::string &Lane) const;
   void sortLanes();
--- a/src/policy/poolqueue.cpp
+++ b/src/policy/poolqueue.cpp
@@ -1,23 +1,32 @@
 #include "policy/poolqueue.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace monsoon {
 
-Duration PoolQueue::expectedWait(int Priority, Duration Service,
+namespace {
+
+bool canBeOnTime(const QueuedRequest &Request, TimePoint Now,
+                 Duration Service) {
+  return Now + Service <= Request.objective();
+}
+
+} // namespace
+
+Duration PoolQueue::expectedWait(TimePoint Now, int Priority, Duration Service,
                                  double Room) const {
   const auto Ahead = std::count_if(
-      m_Items.begin(), m_Items.end(), [Priority](const Item &Each) {
-        return Each->priority() <= Priority;
+      m_Items.begin(), m_Items.end(), [&](const Item &Each) {
+        return Each->priority() <= Priority && canBeOnTime(*Each, Now, Service);
       });
   const double Rounds = static_cast<double>(Ahead + 1) / std::max(Room, 0.5);
   return std::chrono::duration_cast<Duration>(Service * Rounds);
 }
 
-bool PoolQueue::wouldServeInTime(TimePoint Now, int Priority,
-                                 TimePoint Deadline, Duration Service,
-                                 double Room) const {
-  return Now + expectedWait(Priority, Service, Room) + Service <= Deadline;
+bool PoolQueue::wouldServeBy(TimePoint Moment, TimePoint Now, int Priority,
+                             Duration Service, double Room) const {
+  return Now + expectedWait(Now, Priority, Service, Room) + Service <= Moment;
 }
 
 void PoolQueue::add(Item Request) {
@@ -39,9 +48,13 @@
   return true;
 }
 
-void PoolQueue::offer(const std::function<Verdict(const Item &)> &Take) {
+void PoolQueue::offer(TimePoint Now, Duration Service,
+                      const std::function<Verdict(const Item &)> &Take) {
   // Taking one may add or remove others, so the order is fixed beforehand.
-  const std::list<Item> Waiting = m_Items;
+  std::vector<Item> Waiting(m_Items.begin(), m_Items.end());
+  std::stable_partition(Waiting.begin(), Waiting.end(), [&](const Item &Each) {
+    return canBeOnTime(*Each, Now, Service);
+  });
   for (const Item &Each : Waiting) {
     if (std::find(m_Items.begin(), m_Items.end(), Each) == m_Items.end())
       continue;
--- a/src/policy/poolqueue.h
+++ b/src/policy/poolqueue.h
@@ -16,34 +16,41 @@
   virtual ~QueuedRequest() = default;
   /// Rank under overload; 0 goes first.
   virtual int priority() const = 0;
+  /// Moment until which an answer is fully useful.
+  virtual TimePoint objective() const = 0;
   /// Moment from which an answer is of no use.
   virtual TimePoint deadline() const = 0;
 };
 
 /// The requests of one pool that wait for a target: by rank, then in order of
-/// arrival. Answers bursts: what can't be served in time is refused when it
-/// arrives, not when its time is over.
+/// arrival; those that can't be answered by their objective any more come last,
+/// so that late work does not make further work late. Answers bursts: what
+/// can't be served in time is refused when it arrives, not when its time is
+/// over.
 class PoolQueue {
 public:
   using Item = std::shared_ptr<QueuedRequest>;
 
-  /// True when a request of that rank, if it waited now, would be served
-  /// before its deadline. Service is the time that its work takes and Room the
-  /// number of requests that are served side by side.
-  bool wouldServeInTime(TimePoint Now, int Priority, TimePoint Deadline,
-                        Duration Service, double Room) const;
+  /// True when a request of that rank, if it waited now, would be answered
+  /// by a moment. Service is the time that its work takes and Room the number
+  /// of requests that are served side by side.
+  bool wouldServeBy(TimePoint Moment, TimePoint Now, int Priority,
+                    Duration Service, double Room) const;
 
   /// Time after which a place is expected for a request of that rank.
-  Duration expectedWait(int Priority, Duration Service, double Room) const;
+  Duration expectedWait(TimePoint Now, int Priority, Duration Service,
+                        double Room) const;
 
   void add(Item Request);
   /// Removes a request; false if it does not wait.
   bool remove(const QueuedRequest *Request);
 
   /// Offers the waiting requests in order; each that is taken leaves the
-  /// queue. Offering ends when Stop is returned.
+  /// queue. Offering ends when Stop is returned. Service is the time that one
+  /// takes.
   enum class Verdict { Taken, Waits, Stop };
-  void offer(const std::function<Verdict(const Item &)> &Take);
+  void offer(TimePoint Now, Duration Service,
+             const std::function<Verdict(const Item &)> &Take);
 
   size_t size() const { return m_Items.size(); }
   bool isEmpty() const { return m_Items.empty(); }
--- a/tests/policy/poolqueuetest.cpp
+++ b/tests/policy/poolqueuetest.cpp
@@ -14,14 +14,18 @@
   Waiting(int Priority, TimePoint Deadline)
       : m_Priority(Priority), m_Deadline(Deadline) {}
   int priority() const override { return m_Priority; }
+  TimePoint objective() const override { return m_Objective; }
   TimePoint deadline() const override { return m_Deadline; }
+  void setObjective(TimePoint Value) { m_Objective = Value; }
 
 private:
   int m_Priority;
   TimePoint m_Deadline;
+  TimePoint m_Objective = m_Deadline;
 };
 
 const TimePoint Start{seconds(100)};
+constexpr Milliseconds Work{100};
 
 std::shared_ptr<Waiting> request(int Priority) {
   return std::make_shared<Waiting>(Priority, Start + seconds(1));
@@ -36,7 +40,7 @@
   for (const PoolQueue::Item &Each : Added)
     Queue.add(Each);
   std::vector<PoolQueue::Item> Seen;
-  Queue.offer([&](const PoolQueue::Item &Each) {
+  Queue.offer(Start, Work, [&](const PoolQueue::Item &Each) {
     Seen.push_back(Each);
     return PoolQueue::Verdict::Waits;
   });
@@ -49,7 +53,7 @@
   for (int Count = 0; Count < 3; ++Count)
     Queue.add(request(1));
   int Offered = 0;
-  Queue.offer([&](const PoolQueue::Item & /*Each*/) {
+  Queue.offer(Start, Work, [&](const PoolQueue::Item & /*Each*/) {
     return ++Offered == 1 ? PoolQueue::Verdict::Taken
                           : PoolQueue::Verdict::Stop;
   });
@@ -62,14 +66,29 @@
   // 100 ms of work, two at a time, a second to live: 20 fit.
   int Accepted = 0;
   for (int Count = 0; Count < 100; ++Count) {
-    if (!Queue.wouldServeInTime(Start, 1, Start + seconds(1), Milliseconds(100),
-                                2))
+    if (!Queue.wouldServeBy(Start + seconds(1), Start, 1, Work, 2))
       continue;
     Queue.add(request(1));
     ++Accepted;
   }
   CHECK(Accepted >= 15);
   CHECK(Accepted <= 20);
-  CHECK(Queue.wouldServeInTime(Start, 0, Start + seconds(1), Milliseconds(100),
-                               2));
+  CHECK(Queue.wouldServeBy(Start + seconds(1), Start, 0, Work, 2));
+}
+
+TEST_CASE("a request that will be late waits for those that can be on time") {
+  PoolQueue Queue;
+  const auto Late = request(1);
+  Late->setObjective(Start + Work / 2);
+  const auto OnTime = request(1);
+  Queue.add(Late);
+  Queue.add(OnTime);
+  std::vector<PoolQueue::Item> Seen;
+  Queue.offer(Start, Work, [&](const PoolQueue::Item &Each) {
+    Seen.push_back(Each);
+    return PoolQueue::Verdict::Waits;
+  });
+  CHECK(Seen == std::vector<PoolQueue::Item>{OnTime, Late});
+  // It does not count for what comes behind it either.
+  CHECK(Queue.expectedWait(Start, 1, Work, 1) == 2 * Work);
 }
