Log: bounded, on standard output, and never waiting for its reader

Cause: lines were written and flushed synchronously on standard error, without a bound; a reader that stops would have held the event loop up. Change: a line that can't be written at once is dropped and counted; lines about requests are limited to 100 a second with a count of what was left out. telemetrytest shows both (20,000 lines into a pipe that nobody reads).

--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -84,8 +84,8 @@
 
 struct Gateway::Parts {
   explicit Parts(const GatewaySettings &Config)
-      : m_Settings(Config), m_Store(m_Loop, m_Time, Config.m_Log),
-        m_Grants(m_Loop, m_Time),
+      : m_Settings(Config), m_Metrics(m_Time),
+        m_Store(m_Loop, m_Time, Config.m_Log), m_Grants(m_Loop, m_Time),
         m_Targets(
             m_Time,
             [this](const Endpoint &Address) { return makeLinks(Address); },
--- a/src/monsoonstand/service.cpp
+++ b/src/monsoonstand/service.cpp
@@ -46,8 +46,9 @@
 
 struct Service::Parts {
   explicit Parts(const Settings &Config)
-      : m_Log(Config.m_Log), m_Config(m_Log), m_Ownership(m_Log),
-        m_HostList(Config.m_HostList), m_Peers(Config.m_Peers),
+      : m_Metrics(m_Time), m_Log(Config.m_Log), m_Config(m_Log),
+        m_Ownership(m_Log), m_HostList(Config.m_HostList),
+        m_Peers(Config.m_Peers),
         m_Host(Config, newHostId(Config.m_Host),
                {m_Config, m_Ownership, m_HostList, m_Grants, m_Targets, m_Peers,
                 m_Metrics, m_Time}),
--- a/src/telemetry/jsonlog.cpp
+++ b/src/telemetry/jsonlog.cpp
@@ -1,18 +1,18 @@
 #include "telemetry/jsonlog.h"
 
 #include "codec/jsontext.h"
+#include "telemetry/lineoutput.h"
 
-#include <boost/core/null_deleter.hpp>
 #include <boost/date_time/posix_time/posix_time.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
 #include <boost/make_shared.hpp>
 
 #include <array>
-#include <iostream>
+#include <unistd.h>
 
 namespace monsoon {
 
@@ -20,7 +20,19 @@
 
 namespace logging = boost::log;
 
-using Backend = logging::sinks::text_ostream_backend;
+/// Writes formatted records to standard output without waiting for its reader.
+class Backend : public logging::sinks::basic_formatted_sink_backend<
+                    char, logging::sinks::synchronized_feeding> {
+public:
+  void consume(const logging::record_view & /*Record*/,
+               const string_type &Line) {
+    m_Output.write(Line);
+  }
+
+private:
+  LineOutput m_Output{STDOUT_FILENO};
+};
+
 using Frontend = logging::sinks::synchronous_sink<Backend>;
 
 constexpr std::array<const char *, 4> LevelNames = {"debug", "info", "warning",
@@ -42,9 +54,6 @@
   Lowest = LowestLevel;
   HostName = Host;
   const auto Output = boost::make_shared<Backend>();
-  Output->add_stream(
-      boost::shared_ptr<std::ostream>(&std::clog, boost::null_deleter()));
-  Output->auto_flush(true);
   logging::core::get()->add_sink(boost::make_shared<Frontend>(Output));
 }
 
--- a/src/telemetry/jsonlog.h
+++ b/src/telemetry/jsonlog.h
@@ -13,8 +13,9 @@
 /// The level of that name; Info for an unknown one.
 LogLevel logLevelFromName(const std::string &Name);
 
-/// Starts the log of the process: JSON lines on standard error, from a level
-/// on, each with the name of the host.
+/// Starts the log of the process: JSON lines on standard output, from a
+/// level on, each with the name of the host. Lines that a slow reader would
+/// hold up are dropped and counted.
 void startLog(LogLevel Lowest, const std::string &Host);
 
 bool isLogged(LogLevel Level);
--- a/src/telemetry/requestmetrics.cpp
+++ b/src/telemetry/requestmetrics.cpp
@@ -12,6 +12,9 @@
 
 namespace {
 
+/// Lines about requests; a crowded second has some hundred failed ones a host.
+constexpr double LinesPerSecond = 100;
+constexpr double LineBurst = 500;
 constexpr unsigned Buckets = 30;
 constexpr double ShortestMs = 0.1;
 constexpr double LongestMs = 100'000;
@@ -31,13 +34,25 @@
   return boost::histogram::make_histogram(Axis(Buckets, ShortestMs, LongestMs));
 }
 
+RequestMetrics::RequestMetrics(const Clock &Time)
+    : m_Clock(Time), m_Budget(LinesPerSecond, LineBurst) {}
+
 void RequestMetrics::log(const RequestReport &Report) {
   const bool Plain =
       !Report.m_Error && Report.m_Status / 100 == 2 && Report.m_Attempts <= 1;
   const LogLevel Level = Plain ? LogLevel::Debug : LogLevel::Info;
   if (!isLogged(Level))
     return;
+  uint64_t LeftOut = 0;
+  {
+    const absl::MutexLock Lock(&m_BudgetMutex);
+    if (!m_Budget.take(m_Clock.now()))
+      return;
+    LeftOut = m_Budget.takeLeftOut();
+  }
   LogLine Line(Level, "request");
+  if (LeftOut > 0)
+    Line.field("left_out", int64_t(LeftOut));
   Line.field("request_id", Report.m_RequestId)
       .field("route", Report.m_Route)
       .field("pool", Report.m_Pool)
--- a/src/telemetry/requestmetrics.h
+++ b/src/telemetry/requestmetrics.h
@@ -1,7 +1,9 @@
 #ifndef MONSOON_TELEMETRY_REQUESTMETRICS_H
 #define MONSOON_TELEMETRY_REQUESTMETRICS_H
 
+#include "ports/clock.h"
 #include "ports/metricssink.h"
+#include "telemetry/linebudget.h"
 
 #include "absl/synchronization/mutex.h"
 
@@ -22,6 +24,8 @@
   /// Tenants beyond this number are counted together as "other".
   static constexpr size_t MaxTenants = 64;
 
+  explicit RequestMetrics(const Clock &Time);
+
   void requestDone(const RequestReport &Report) override;
 
   /// All histograms in the Prometheus text format.
@@ -46,9 +50,13 @@
   };
 
   static Histogram newHistogram();
-  static void log(const RequestReport &Report);
+  void log(const RequestReport &Report);
   std::map<Key, Series> merged() const;
 
+  const Clock &m_Clock;
+  absl::Mutex m_BudgetMutex;
+  LineBudget m_Budget ABSL_GUARDED_BY(m_BudgetMutex);
+
   // Workers spread over the shards, so that they seldom wait for each other.
   static constexpr size_t ShardCount = 16;
   std::array<Shard, ShardCount> m_Shards;
