Owners: a takeover needs no earlier read; missing entries after a cut are gone

Change: entries are kept only if a third of them or more vanished; the condition of the takeover's append proves that the state is the newest one, so no read has to come first. Owners are recorded and read in batches that grow with the number of hosts.

--- a/src/entry/keeperset.cpp
+++ b/src/entry/keeperset.cpp
@@ -96,6 +96,11 @@
   pass(*Keeper);
 }
 
+void KeeperSet::setHosts(size_t Count) {
+  for (const auto &[Pool, Keeper] : m_Keepers)
+    Keeper->setHosts(Count);
+}
+
 void KeeperSet::takeCounts(HostReport &Report) {
   for (const auto &[Pool, Keeper] : m_Keepers) {
     auto Counts = Keeper->takeCounts();
--- a/src/entry/keeperset.h
+++ b/src/entry/keeperset.h
@@ -32,6 +32,7 @@
   /// Tells what a pool's targets bear: the time that a request usually takes,
   /// and how many times as many requests there are as are known of.
   void setUsualTime(const std::string &Pool, Duration Usual, double Unknown);
+  void setHosts(size_t Count);
   /// Adds what arrived here since the last call to a report.
   void takeCounts(HostReport &Report);
   void noteReport(const HostReport &Report);
--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -14,8 +14,6 @@
 
 /// How long a read of the topic waits for records.
 constexpr Milliseconds ReadWait{3000};
-/// A host whose last read is older does not try to take over.
-constexpr Milliseconds StaleRead{5000};
 /// Targets' clocks may measure a hold this much too long.
 constexpr double SlowClock = 1.025;
 /// Covers the grain of timers.
@@ -36,6 +34,9 @@
 constexpr Milliseconds FirstShun{12'000};
 constexpr Milliseconds LongestShun{40'000};
 constexpr Milliseconds PlanPause{250};
+/// Shares of a host in the pauses between reads and between records of owners.
+constexpr Milliseconds ReadPausePerHost{8};
+constexpr Milliseconds RecordPausePerHost{4};
 /// Moves under way at the same time.
 constexpr size_t MaxMoves = 64;
 
@@ -60,6 +61,12 @@
   m_Ports.m_Events.event(Level, Name, Fields);
 }
 
+void RangeKeeper::setHosts(size_t Count) {
+  const auto Hosts = static_cast<int64_t>(Count);
+  m_Follower.setPause(ReadPausePerHost * Hosts);
+  m_RecordPause = RecordPausePerHost * Hosts;
+}
+
 void RangeKeeper::resync() {
   if (m_Resyncing)
     return;
@@ -163,7 +170,7 @@
     return;
   }
   if (!m_Holding) {
-    takeOver(Now);
+    takeOver();
     return;
   }
   if (m_Table->ranges().empty()) {
@@ -179,10 +186,9 @@
   return Now < m_Ports.m_Leases.heldUntil(m_Pool);
 }
 
-void RangeKeeper::takeOver(TimePoint Now) {
-  // Silence of the topic does not matter, but what is in it has to be known.
-  if (m_AppendPending || m_Resyncing || m_Usable.empty() ||
-      Now - m_Follower.lastRead() > StaleRead)
+void RangeKeeper::takeOver() {
+  // An older state than the newest one fails the condition of the append.
+  if (m_AppendPending || m_Resyncing || m_Usable.empty())
     return;
   const OwnerLease Lease{m_Host, m_Lease.m_Term + 1};
   const auto Table = std::make_shared<KeyTable>(
@@ -445,7 +451,8 @@
 }
 
 void RangeKeeper::recordMoves() {
-  if (m_AppendPending || m_Resyncing)
+  const TimePoint Now = m_Ports.m_Clock.now();
+  if (m_AppendPending || m_Resyncing || Now < m_NextRecord)
     return;
   KeyTable::Builder Next(*m_Table);
   bool Any = false;
@@ -461,6 +468,7 @@
   }
   if (!Any)
     return;
+  m_NextRecord = Now + m_RecordPause;
   const auto Table = std::make_shared<KeyTable>(Next.build());
   append({{TableRecordKey, encodeKeyTable(*Table)}}, [this, Table]() {
     adopt(Table);
--- a/src/keyowner/rangekeeper.h
+++ b/src/keyowner/rangekeeper.h
@@ -89,6 +89,9 @@
   }
   /// Requests a second that are known of.
   double requestRate() const { return m_Load.total(); }
+  /// Each change of the owners is read by every host. With more of them, more
+  /// changes are recorded and read at a time.
+  void setHosts(size_t Count);
   /// Known requests a second, per unit of capacity, from which a target gives
   /// keys away.
   void setCrowdedLoad(double Value) { m_CrowdedLoad = Value; }
@@ -144,7 +147,7 @@
   void fold(const KeyedPage &Page);
   void foldRecord(const KeyedRecord &Record);
   void adopt(KeyTablePtr Table);
-  void takeOver(TimePoint Now);
+  void takeOver();
   void stepDown(const char *Why);
   void append(const std::vector<KeyedRecord> &Records,
               std::function<void()> Accepted);
@@ -203,6 +206,8 @@
   double m_CrowdedLoad = 0;
   TimePoint m_NextFade{};
   TimePoint m_NextPlan{};
+  TimePoint m_NextRecord{};
+  Milliseconds m_RecordPause{0};
 };
 
 } // namespace monsoon
--- a/src/membership/targetdirectory.cpp
+++ b/src/membership/targetdirectory.cpp
@@ -6,17 +6,22 @@
 
 namespace {
 
-/// Reads that are this far apart mean that the log was away.
-constexpr Milliseconds OutageGap{1500};
+/// Reads that are this far apart mean that the log was away; one lost call
+/// does not.
+constexpr Milliseconds OutageGap{2500};
 /// Live targets are back in the membership within this time of the log's
 /// return (platform's statement: about two seconds).
 constexpr Milliseconds ReentryTime{2200};
+/// Fewer than one in so many missing entries don't make an outage.
+constexpr size_t FewPart = 3;
 
 } // namespace
 
 void TargetDirectory::noteContact(TimePoint Now) {
-  if (m_LastContact != TimePoint{} && Now - m_LastContact > OutageGap)
+  if (m_LastContact != TimePoint{} && Now - m_LastContact > OutageGap) {
     m_GraceEnd = Now + ReentryTime;
+    m_GapUnjudged = true;
+  }
   m_LastContact = Now;
 }
 
@@ -49,6 +54,12 @@
 }
 
 bool TargetDirectory::update(TimePoint Now) {
+  if (std::exchange(m_GapUnjudged, false) &&
+      m_Lapsed.size() * FewPart < m_Targets.size()) {
+    m_GraceEnd = Now;
+    for (auto &[Id, Until] : m_Lapsed)
+      Until = Now;
+  }
   for (auto It = m_Lapsed.begin(); It != m_Lapsed.end();) {
     if (Now < It->second) {
       ++It;
--- a/src/membership/targetdirectory.h
+++ b/src/membership/targetdirectory.h
@@ -9,9 +9,10 @@
 
 namespace monsoon {
 
-/// The targets that the membership names. Entries that vanish while the log is
-/// away are kept for a while after its return, since live targets enter
-/// themselves again.
+/// The targets that the membership names. When many entries vanish while the
+/// log is away, they are kept for a while after its return, since live targets
+/// enter themselves again. A few that are missing are gone: then it was this
+/// host that was away.
 class TargetDirectory {
 public:
   /// An entry was written.
@@ -36,6 +37,8 @@
   std::map<std::string, std::pair<int64_t, int64_t>> m_Newest;
   TimePoint m_LastContact{};
   TimePoint m_GraceEnd{};
+  /// Whether lapsed entries are kept is decided once after each gap.
+  bool m_GapUnjudged = false;
   bool m_Changed = false;
 };
 
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -35,6 +35,8 @@
   /// Starts a read when one is due; called several times a second.
   void tick();
 
+  void setPause(Milliseconds Value) { m_Config.m_Pause = Value; }
+
   /// True once the topic was read as a whole.
   bool isSynced() const { return m_Synced; }
   /// When a read was last answered.
@@ -48,7 +50,7 @@
   void readOn();
   void failed(ErrorKind Kind);
 
-  const Options m_Config;
+  Options m_Config;
   SharedLog &m_Log;
   const Clock &m_Clock;
   Callback m_Records;
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -246,6 +246,7 @@
       if (const auto Address = peerAddress(Name))
         Peers.emplace(Name, *Address);
     m_Work.setPeers(std::move(Peers));
+    m_Keepers.setHosts(m_Hosts.hosts());
     if (!m_Dispatcher.routes())
       return;
     for (const Pool &Each : m_Dispatcher.routes()->tables().pools())
--- a/tests/keyowner/keeperworld.cpp
+++ b/tests/keyowner/keeperworld.cpp
@@ -114,10 +114,19 @@
       return;
     }
     const auto Answered = std::make_shared<bool>(false);
+    const TimePoint Start = m_World.m_Time.now();
     const auto Answer = [this, &World = m_World, Host = m_Host, From, Done,
-                         Answered]() {
+                         Answered, Start, Wait]() {
       if (std::exchange(*Answered, true))
         return;
+      // A connection that the outage found waiting says nothing any more.
+      if (World.m_LastOutage >= Start) {
+        const TimePoint End = Start + Wait + CallTimeout;
+        World.deliver(Host, End - World.m_Time.now(), [Done]() {
+          Done(Failure{ErrorKind::LogUnavailable, ""});
+        });
+        return;
+      }
       KeyedPage Page;
       Page.m_End = World.m_Records.size();
       for (LogOffset At = From; At < Page.m_End; ++At)
@@ -328,6 +337,8 @@
 
 void KeeperWorld::dealLeases() {
   const TimePoint Now = m_Time.now();
+  if (m_LogDown)
+    m_LastOutage = Now;
   const auto Reaches = [&](unsigned Index) {
     return !m_LogDown && m_CutFromLog.count(Index) == 0 &&
            m_Hosts[Index]->m_Keeper && Now >= m_Hosts[Index]->m_PausedUntil;
--- a/tests/keyowner/keeperworld.h
+++ b/tests/keyowner/keeperworld.h
@@ -145,6 +145,7 @@
   int64_t m_NextBorn = 1;
   unsigned m_LeaseMember = 0;
   TimePoint m_LeaseEnd{};
+  TimePoint m_LastOutage{};
 };
 
 } // namespace monsoon
--- a/tests/keyowner/rangekeepertest.cpp
+++ b/tests/keyowner/rangekeepertest.cpp
@@ -99,6 +99,18 @@
     CHECK(firstViolation(World) == "");
   }
 
+  TEST_CASE("keys are served again soon after an outage that outlasted all "
+            "holds") {
+    KeeperWorld World(5, 6, 12);
+    World.run(seconds(8));
+    World.m_LogDown = true;
+    World.run(Milliseconds(15'700));
+    World.m_LogDown = false;
+    World.run(seconds(2));
+    CHECK(World.unservedKeys() == 0);
+    CHECK(firstViolation(World) == "");
+  }
+
   TEST_CASE("the loss of the holder leaves no key without its owner") {
     KeeperWorld World(5, 6, 8);
     World.run(seconds(8));
--- /dev/null
+++ b/tests/membership/workexchangetest.cpp
@@ -0,0 +1,115 @@
+#include "membership/workexchange.h"
+#include "codec/hostreportcodec.h"
+
+#include <doctest.h>
+
+#include <memory>
+#include <vector>
+
+using namespace monsoon;
+using std::chrono::milliseconds;
+
+namespace {
+
+class StillClock : public Clock {
+public:
+  TimePoint now() const override { return m_Now; }
+  TimePoint m_Now{std::chrono::seconds(100)};
+};
+
+/// Passes messages between hosts by their port.
+class Switch {
+public:
+  class Port : public PeerChannel {
+  public:
+    Port(Switch &All, int Number) : m_All(All), m_Number(Number) {}
+    void send(const Endpoint &To, const std::string &Message) override {
+      if (m_All.m_Cut != m_Number && m_All.m_Cut != To.m_Port)
+        m_All.m_Ports[static_cast<size_t>(To.m_Port)]->m_Received(Message);
+    }
+    void onMessage(Received Callback) override {
+      m_Received = std::move(Callback);
+    }
+
+  private:
+    Switch &m_All;
+    const int m_Number;
+    Received m_Received;
+  };
+
+  std::vector<std::unique_ptr<Port>> m_Ports;
+  int m_Cut = -1;
+};
+
+struct ThreeHosts {
+  ThreeHosts() {
+    std::map<std::string, Endpoint> Peers;
+    for (int Number = 0; Number < 3; ++Number) {
+      m_Switch.m_Ports.push_back(
+          std::make_unique<Switch::Port>(m_Switch, Number));
+      Peers["h" + std::to_string(Number)] = {"127.0.0.1", Number};
+    }
+    for (int Number = 0; Number < 3; ++Number) {
+      m_Hosts.push_back(std::make_unique<WorkExchange>(
+          "h" + std::to_string(Number),
+          *m_Switch.m_Ports[static_cast<size_t>(Number)], m_Time,
+          [this, Number]() {
+            HostReport Report;
+            Report.m_InFlight = m_InFlight[Number];
+            return Report;
+          },
+          [](const HostReport & /*Report*/) {}));
+      m_Hosts.back()->setPeers(Peers);
+    }
+  }
+
+  void run(milliseconds Length) {
+    for (milliseconds Passed{0}; Passed < Length; Passed += milliseconds(50)) {
+      m_Time.m_Now += milliseconds(50);
+      for (const auto &Each : m_Hosts)
+        Each->tick();
+    }
+  }
+
+  StillClock m_Time;
+  Switch m_Switch;
+  std::map<int, std::map<std::string, int>> m_InFlight;
+  std::vector<std::unique_ptr<WorkExchange>> m_Hosts;
+};
+
+} // namespace
+
+TEST_CASE("hosts know what the others have in flight") {
+  ThreeHosts Given;
+  Given.m_InFlight = {{0, {{"t1", 2}}}, {1, {{"t1", 1}, {"t2", 4}}}};
+  Given.run(milliseconds(500));
+  CHECK(Given.m_Hosts[2]->inFlightElsewhere("t1") == 3);
+  CHECK(Given.m_Hosts[0]->inFlightElsewhere("t1") == 1);
+  CHECK(Given.m_Hosts[0]->isComplete());
+}
+
+TEST_CASE("what a silent host told is soon forgotten") {
+  ThreeHosts Given;
+  Given.m_InFlight = {{0, {{"t1", 2}}}};
+  Given.run(milliseconds(500));
+  Given.m_Switch.m_Cut = 0;
+  Given.run(milliseconds(1000));
+  CHECK(Given.m_Hosts[1]->inFlightElsewhere("t1") == 0);
+  CHECK(!Given.m_Hosts[1]->isComplete());
+  CHECK(Given.m_Hosts[1]->reportingHosts() == 2);
+}
+
+TEST_CASE("a report survives its message, and nonsense is none") {
+  HostReport Report;
+  Report.m_Host = "h1#a@10.0.0.1:7620";
+  Report.m_Sequence = 7;
+  Report.m_InFlight = {{"t1", 3}};
+  Report.m_KeyCounts = {{"ledger", {{5, 2}, {65'535, 1}}}};
+  const auto Read = decodeHostReport(encodeHostReport(Report));
+  REQUIRE(Read.has_value());
+  CHECK(Read.value() == Report);
+  for (const char *Text :
+       {"", "[]", "{\"h\":1}", "{\"h\":\"a\",\"n\":1,\"f\":[[1,2]],\"k\":{}}",
+        "{\"h\":\"a\",\"n\":1,\"f\":[],\"k\":{\"p\":[[1]]}}"})
+    CHECK(!decodeHostReport(Text).has_value());
+}
