Stop: near its end new requests are refused as not run

Change: 2.8 s after the signal connections end behind what was read, and what comes anew is refused with a time to come back. The test failed first.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -11,6 +11,8 @@
 /// Interval in which waiting requests are looked at, since what other hosts
 /// send to a target is only estimated and ends unseen.
 constexpr Milliseconds OfferInterval{20};
+/// Another host takes the caller at once.
+constexpr Milliseconds StoppingReturn{50};
 
 } // namespace
 
@@ -57,6 +59,11 @@
 std::shared_ptr<PendingRequest> Dispatcher::handle(HttpRequest Request,
                                                    Reply Done) {
   RequestFacts Facts = m_Dialect.readRequest(Request);
+  if (m_Refusing) {
+    Done(errorAnswer(ErrorKind::Stopping, Facts.m_Id, "this host is stopping",
+                     StoppingReturn));
+    return nullptr;
+  }
   if (!m_Routes) {
     Done(errorAnswer(ErrorKind::NoConfiguration, Facts.m_Id,
                      "no tables were read yet", Milliseconds(300)));
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -31,6 +31,9 @@
   /// Targets, owners or hosts changed: waiting requests are looked at again.
   void offerWaiting();
 
+  /// From now on new requests are refused as not run; those under way go on.
+  void refuseNew() { m_Refusing = true; }
+
   /// Called several times a second.
   void tick() { armOffer(); }
 
@@ -56,6 +59,7 @@
   std::map<std::string, WeightedSplit> m_Splits;
   boost::asio::steady_timer m_OfferTimer;
   bool m_OfferArmed = false;
+  bool m_Refusing = false;
 };
 
 } // namespace monsoon
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -44,9 +44,11 @@
 constexpr Milliseconds MembershipPause{850};
 /// How often the keepers of keys are told how fast targets are.
 constexpr Milliseconds RatingInterval{500};
-/// From the stop signal until idle connections are closed: the balancer needs
-/// two failed readiness checks, a second apart, to turn callers away.
-constexpr Milliseconds IdleCloseDelay{3500};
+/// From the stop signal until connections are closed behind what was read and
+/// new requests are refused: the balancer needs two failed readiness checks, a
+/// second apart, to turn callers away. What is passed on before has the rest of
+/// the time to end.
+constexpr Milliseconds IdleCloseDelay{2800};
 /// The process ends this long before the platform would kill it.
 constexpr Milliseconds StopMargin{300};
 
@@ -299,6 +301,7 @@
     const Duration Passed = Now - m_StopBegan;
     if (Passed < IdleCloseDelay)
       return;
+    m_Dispatcher.refuseNew();
     m_Callers.sessions().drainAll(true);
     const bool Done = m_Callers.sessions().busy() == 0;
     if (!Done && Passed < m_Settings.m_StopLimit - StopMargin)
--- a/tests/entry/dispatchertest.cpp
+++ b/tests/entry/dispatchertest.cpp
@@ -196,6 +196,25 @@
   }
 }
 
+TEST_CASE("near the end of a stop a new request is refused, and one that was "
+          "passed on is still answered") {
+  EntryBench Bench;
+  bool Hangs = true;
+  Bench.addTarget("t1").m_Script = [&Hangs](const std::string & /*Id*/) {
+    return Hangs ? Deed::Hang : Deed::Answer;
+  };
+  Bench.publish();
+  Bench.send("POST", "/write/1", "before", Long);
+  REQUIRE(Bench.runUntil([&]() { return Bench.runsOf("before") == 1; }));
+  Bench.m_Dispatcher->refuseNew();
+  Hangs = false;
+  Bench.send("POST", "/write/2", "after", Long);
+  CHECK(Bench.await("after").m_Status == 503);
+  CHECK(Bench.await("after").m_Fields.find("Retry-After"));
+  CHECK(Bench.runsOf("after") == 0);
+  CHECK(!Bench.isAnswered("before"));
+}
+
 TEST_SUITE("leaving-target") {
   TEST_CASE("a draining target gets no new request") {
     EntryBench Bench;
