--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -179,7 +179,11 @@
       [this](const std::string & /*Pool*/) { return m_Keeper; });
 }
 
-EntryBench::~EntryBench() = default;
+EntryBench::~EntryBench() {
+  // A request in flight and its connection keep each other.
+  for (const auto &Each : m_Pending)
+    Each->cancel();
+}
 
 ScriptedTarget &EntryBench::addTarget(const std::string &Id,
                                       const std::string &Pool,
@@ -241,12 +245,15 @@
     Request.m_HasBody = true;
     Request.m_Body = "body";
   }
-  return m_Dispatcher->handle(std::move(Request),
-                              [this, Id](HttpAnswer Answer) {
-                                // A second answer would be a fault of its own.
-                                CHECK(m_Answers.count(Id) == 0);
-                                m_Answers[Id] = std::move(Answer);
-                              });
+  const auto Started =
+      m_Dispatcher->handle(std::move(Request), [this, Id](HttpAnswer Answer) {
+        // A second answer would be a fault of its own.
+        CHECK(m_Answers.count(Id) == 0);
+        m_Answers[Id] = std::move(Answer);
+      });
+  if (Started)
+    m_Pending.push_back(Started);
+  return Started;
 }
 
 bool EntryBench::runUntil(const std::function<bool()> &Holds,
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -139,6 +139,7 @@
 private:
   int64_t m_Version = 0;
   std::map<std::string, HttpAnswer> m_Answers;
+  std::vector<std::shared_ptr<PendingRequest>> m_Pending;
 };
 
 } // namespace monsoon
--- a/tests/net/callersessiontest.cpp
+++ b/tests/net/callersessiontest.cpp
@@ -18,7 +18,10 @@
   class Held : public PendingRequest {
   public:
     explicit Held(bool MayOverlap) : m_MayOverlap(MayOverlap) {}
-    void cancel() override { m_Cancelled = true; }
+    void cancel() override {
+      m_Cancelled = true;
+      m_Reply = nullptr;
+    }
     bool mayOverlap() const override { return m_MayOverlap; }
 
     HttpRequest m_Request;
@@ -62,6 +65,9 @@
     REQUIRE(m_Acceptor.listen({"127.0.0.1", 0}).has_value());
   }
 
+  // A request without an answer and its session keep each other.
+  ~SessionBench() { m_Acceptor.sessions().abortAll(); }
+
   std::unique_ptr<RawPeer> connect() {
     boost::asio::ip::tcp::socket Socket(m_Loop);
     Socket.connect(socketAddress(m_Acceptor.address()));
--- a/tests/net/rawpeer.h
+++ b/tests/net/rawpeer.h
@@ -57,8 +57,10 @@
   void read() {
     m_Socket.async_read_some(
         boost::asio::buffer(m_Chunk),
-        [this](const boost::system::error_code &Error, size_t Size) {
-          if (Error == boost::asio::error::operation_aborted)
+        [this, Alive = std::weak_ptr<bool>(m_Alive)](
+            const boost::system::error_code &Error, size_t Size) {
+          // A read that has ended may be reported after its peer is gone.
+          if (Alive.expired() || Error == boost::asio::error::operation_aborted)
             return;
           if (Error) {
             m_Ended = true;
@@ -70,6 +72,7 @@
         });
   }
 
+  std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   boost::asio::ip::tcp::socket m_Socket;
   std::array<char, 4096> m_Chunk{};
   std::string m_Received;
