Owners: refused orders end a hold, waiting moves hold up nobody else

Servers had crashed and their addresses gone to servers of another kind, which refuse grants. A refused grant left the hold that had been noted before it was sent, and the next one prolonged it, so the keys never became free; 64 such moves filled the limit on moves, so no other keys moved either.

Change: an order that was refused has not been carried out, so it counts like one that could not be delivered; the limit on moves under way is gone.

Two tests fail without the change; 60 random schedules with such servers pass.

--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -37,8 +37,6 @@
 /// Shares of a host in the pauses between reads and between records of owners.
 constexpr Milliseconds ReadPausePerHost{8};
 constexpr Milliseconds RecordPausePerHost{4};
-/// Moves under way at the same time.
-constexpr size_t MaxMoves = 64;
 
 } // namespace
 
@@ -311,8 +309,7 @@
 }
 
 void RangeKeeper::planMoves(TimePoint Now) {
-  if (Now < m_NextPlan || m_AppendPending || m_Usable.empty() ||
-      m_Moves.size() >= MaxMoves)
+  if (Now < m_NextPlan || m_AppendPending || m_Usable.empty())
     return;
   m_NextPlan = Now + PlanPause;
   PlanInput Input;
@@ -569,7 +566,13 @@
     resync();
     return;
   case OrderResult::Rejected:
-    log(Severity::Error, "grant_rejected", {{"fence", absl::StrCat(Fence)}});
+    // Servers of other kinds, which may have got the owner's address, refuse
+    // orders as well. In any case it was not carried out.
+    if (State.m_UnreachableInRow == 0)
+      log(Severity::Error, "grant_rejected", {{"fence", absl::StrCat(Fence)}});
+    ++State.m_UnreachableInRow;
+    State.m_HoldEnd = State.m_HoldEndBefore;
+    State.m_NextGrant = Now + OrderPause;
     return;
   case OrderResult::OtherTarget:
     // The life that held the keys is over.
--- a/tests/keyowner/keeperschedules.cpp
+++ b/tests/keyowner/keeperschedules.cpp
@@ -35,7 +35,7 @@
     return World.random()() % Sides;
   };
   const bool MayLoseServer = World.serverIds().size() > 4;
-  switch (Chance(18)) {
+  switch (Chance(19)) {
   case 0:
     World.m_LogDown = !World.m_LogDown;
     break;
@@ -95,6 +95,10 @@
   case 15:
     World.setDomainOut(absl::StrCat("d", Chance(3)), Chance(2) == 0);
     break;
+  case 17:
+    if (MayLoseServer)
+      World.replaceByStranger(anyServer(World));
+    break;
   case 16:
     World.m_DealAnew = true;
     break;
--- a/tests/keyowner/keeperworld.cpp
+++ b/tests/keyowner/keeperworld.cpp
@@ -186,6 +186,11 @@
 
   void grant(const TargetInfo &To, const GrantOrder &Order,
              GrantDone Done) override {
+    if (m_World.m_Strangers.count(To.m_Address.m_Host) > 0) {
+      m_World.deliver(m_Host, 2 * NetworkDelay,
+                      [Done]() { Done(OrderResult::Rejected); });
+      return;
+    }
     SimServer *Server = reach(To);
     if (!Server) {
       m_World.deliver(m_Host, ConnectTimeout,
@@ -218,6 +223,11 @@
 
   void release(const TargetInfo &From, const KeyRange &Keys, uint64_t /*Fence*/,
                ReleaseDone Done) override {
+    if (m_World.m_Strangers.count(From.m_Address.m_Host) > 0) {
+      m_World.deliver(m_Host, 2 * NetworkDelay,
+                      [Done]() { Done(OrderResult::Rejected, ""); });
+      return;
+    }
     SimServer *Server = reach(From);
     if (!Server || Server->m_Info.m_Id != From.m_Id) {
       m_World.deliver(m_Host, ConnectTimeout,
@@ -531,6 +541,11 @@
   return NewId;
 }
 
+void KeeperWorld::replaceByStranger(const std::string &Id) {
+  m_Strangers.insert(m_Servers.at(Id)->m_Info.m_Address.m_Host);
+  crashServer(Id);
+}
+
 void KeeperWorld::drainServer(const std::string &Id) {
   SimServer &Server = *m_Servers.at(Id);
   Server.m_Info.m_Draining = true;
--- a/tests/keyowner/keeperworld.h
+++ b/tests/keyowner/keeperworld.h
@@ -97,6 +97,8 @@
   void crashServer(const std::string &Id);
   /// Another server starts at the address. SameId: the same one, in a new life.
   std::string rebornServer(const std::string &Id, bool SameId);
+  /// The address goes to a server of another kind, which refuses all orders.
+  void replaceByStranger(const std::string &Id);
   void addServer();
   void drainServer(const std::string &Id);
   void darkServer(const std::string &Id, Duration Length);
@@ -139,6 +141,8 @@
   std::map<std::string, std::unique_ptr<SimServer>> m_Servers;
   std::vector<std::unique_ptr<SimServer>> m_Ended;
   std::set<std::string> m_DomainsOut;
+  /// Addresses of servers of other kinds.
+  std::set<std::string> m_Strangers;
   std::vector<uint64_t> m_HighestFence;
   std::vector<std::string> m_FenceOwner;
   std::vector<std::string> m_Violations;
--- a/tests/keyowner/rangekeepertest.cpp
+++ b/tests/keyowner/rangekeepertest.cpp
@@ -158,6 +158,42 @@
     CHECK(firstViolation(World) == "");
   }
 
+  TEST_CASE("keys of a server whose address went to another kind of server are "
+            "served again after its hold") {
+    KeeperWorld World(3, 6, 12);
+    World.run(seconds(8));
+    const auto Ids = World.serverIds();
+    World.replaceByStranger(Ids[0]);
+    World.replaceByStranger(Ids[1]);
+    World.run(seconds(6));
+    CHECK(World.unservedKeys() == 0);
+    CHECK(firstViolation(World) == "");
+  }
+
+  TEST_CASE("moves that can't end yet don't hold up the keys of other servers") {
+    // The longest holds are given while the log is down, so many ranges wait
+    // for those of silent owners; meanwhile another owner leaves.
+    KeeperWorld World(3, 90, 13);
+    World.run(seconds(8));
+    World.m_LogDown = true;
+    World.run(Milliseconds(1500));
+    World.m_LogDown = false;
+    World.run(Milliseconds(600));
+    const auto Ids = World.serverIds();
+    for (size_t Index = 0; Index < 70; ++Index)
+      World.darkServer(Ids[Index], seconds(20));
+    World.run(seconds(4));
+    const std::string Leaving = Ids[75];
+    World.drainServer(Leaving);
+    World.run(Milliseconds(1200));
+    std::string Owner;
+    for (uint32_t Key = 0; Key < KeyCount; Key += 16)
+      if (World.holderOf(Key) == Leaving)
+        Owner = Leaving;
+    CHECK(Owner == "");
+    CHECK(firstViolation(World) == "");
+  }
+
   TEST_CASE("keys of a leaving server are handed over without a pause longer "
             "than its running work") {
     KeeperWorld World(3, 6, 11);
