Former holders tell how long owners may hold keys; lives that follow keep holds

Ruled out: that a shorter grant under a higher fence ends a longer one.

Change: long holds are given only when no host has read the log lately; a host whose term is over tells until when its orders hold, and its successor waits no longer.

--- a/src/codec/hostreportcodec.cpp
+++ b/src/codec/hostreportcodec.cpp
@@ -119,6 +119,12 @@
   Value["o"] = Json::arrayValue;
   for (const OwnersNews &Each : Report.m_News)
     Value["o"].append(encodeNews(Each));
+  Value["e"] = Json::objectValue;
+  for (const auto &[Pool, Ended] : Report.m_EndedTerms) {
+    Json::Value &Row = Value["e"][Pool] = Json::arrayValue;
+    Row.append(Json::UInt64(Ended.m_Term));
+    Row.append(Json::Int64(Ended.m_HoldsLeft.count()));
+  }
   Value["k"] = Json::objectValue;
   for (const auto &[Pool, Counts] : Report.m_KeyCounts) {
     Json::Value &Rows = Value["k"][Pool] = Json::arrayValue;
@@ -138,7 +144,8 @@
     return Parsed.error();
   const Json::Value &Value = Parsed.value();
   if (!Value.isObject() || !Value["h"].isString() || !Value["n"].isUInt64() ||
-      !Value["k"].isObject() || !Value["o"].isArray())
+      !Value["k"].isObject() || !Value["o"].isArray() ||
+      !Value["e"].isObject())
     return Unreadable;
   HostReport Report;
   Report.m_Host = Value["h"].asString();
@@ -152,6 +159,14 @@
     if (!decodeNews(Each, Report.m_News.back()))
       return Unreadable;
   }
+  for (const std::string &Pool : Value["e"].getMemberNames()) {
+    const Json::Value &Row = Value["e"][Pool];
+    if (!Row.isArray() || Row.size() != 2 || !Row[0].isUInt64() ||
+        !Row[1].isInt64())
+      return Unreadable;
+    Report.m_EndedTerms[Pool] = {Row[0].asUInt64(),
+                                 Milliseconds(Row[1].asInt64())};
+  }
   for (const std::string &Pool : Value["k"].getMemberNames()) {
     const Json::Value &Rows = Value["k"][Pool];
     if (!isPairs(Rows))
--- a/src/core/hostreport.h
+++ b/src/core/hostreport.h
@@ -61,6 +61,19 @@
   }
 };
 
+/// What a host that has held the lease of a pool tells its successor.
+struct EndedTerm {
+  uint64_t m_Term = 0;
+  /// How much longer owners may hold keys by orders of that term or of those
+  /// before it.
+  Milliseconds m_HoldsLeft{0};
+
+  friend bool operator==(const EndedTerm &A, const EndedTerm &B) {
+    return std::tie(A.m_Term, A.m_HoldsLeft) ==
+           std::tie(B.m_Term, B.m_HoldsLeft);
+  }
+};
+
 /// What one entry host tells the others of its own work.
 struct HostReport {
   std::string m_Host;
@@ -76,10 +89,12 @@
   std::map<std::string, TopicProgress> m_Topics;
   /// Changes since the last report.
   std::vector<OwnersNews> m_News;
+  /// The last terms of this host that are over, by pool.
+  std::map<std::string, EndedTerm> m_EndedTerms;
 
   auto tie() const {
     return std::tie(m_Host, m_Sequence, m_InFlight, m_Waiting, m_KeyCounts,
-                    m_Topics, m_News);
+                    m_Topics, m_News, m_EndedTerms);
   }
   friend bool operator==(const HostReport &A, const HostReport &B) {
     return A.tie() == B.tie();
--- a/src/entry/keeperset.cpp
+++ b/src/entry/keeperset.cpp
@@ -120,9 +120,16 @@
       Report.m_KeyCounts.emplace(Pool, std::move(Counts));
     for (OwnersNews &Each : Keeper->takeNews())
       Report.m_News.push_back(std::move(Each));
+    if (const auto Ended = Keeper->endedTerm())
+      Report.m_EndedTerms.emplace(Pool, *Ended);
   }
 }
 
+void KeeperSet::noteLogSeen(TimePoint At) {
+  for (const auto &[Pool, Keeper] : m_Keepers)
+    Keeper->noteLogSeen(At);
+}
+
 void KeeperSet::noteReport(const HostReport &Report) {
   for (const auto &[Pool, Counts] : Report.m_KeyCounts)
     if (RangeKeeper *Keeper = find(Pool))
@@ -131,6 +138,9 @@
   for (const OwnersNews &Each : Report.m_News)
     if (RangeKeeper *Keeper = find(Each.m_Pool))
       Keeper->noteNews(Each);
+  for (const auto &[Pool, Ended] : Report.m_EndedTerms)
+    if (RangeKeeper *Keeper = find(Pool))
+      Keeper->noteEndedTerm(Report.m_Host, Ended);
 }
 
 void KeeperSet::tick() {
--- a/src/entry/keeperset.h
+++ b/src/entry/keeperset.h
@@ -41,6 +41,8 @@
   /// Adds what arrived and changed here since the last call to a report.
   void fill(HostReport &Report);
   void noteReport(const HostReport &Report);
+  /// Some host has read the log at that moment.
+  void noteLogSeen(TimePoint At);
 
   RangeKeeper *find(const std::string &Pool) const;
   /// True once the owners of every pool are known.
--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -148,13 +148,19 @@
     for (const OwnedRange &Old : Before->ranges()) {
       const auto OldState = m_Grants.find(Old.m_Fence);
       if (OldState == m_Grants.end() || Old.m_Owner != Each.m_Owner ||
-          Old.m_Incarnation != Each.m_Incarnation ||
           !Old.m_Keys.contains(Each.m_Keys.m_First))
         continue;
+      // A new life may have taken orders that were meant for the former one.
+      if (Old.m_Incarnation != Each.m_Incarnation) {
+        State.m_HoldEnd = State.m_HoldEndBefore = OldState->second.m_HoldEnd;
+        State.m_OwnHoldEnd = State.m_OwnHoldEndBefore =
+            OldState->second.m_OwnHoldEnd;
+        continue;
+      }
       State = OldState->second;
       // An order for the whole range may still arrive.
       if (std::exchange(State.m_InFlight, false))
-        State.m_UnansweredUntil = State.m_HoldEnd;
+        State.m_UnansweredUntil = State.m_OwnHoldEnd;
     }
   }
   m_Grants = std::move(Grants);
@@ -210,7 +216,9 @@
   append({{LeaseRecordKey, encodeLease(Lease)},
           {TableRecordKey, encodeKeyTable(*Table)}},
          Table, [this, Lease, Table]() {
+           m_Former = m_Lease;
            m_Lease = Lease;
+           m_OwnTerm = Lease.m_Term;
            m_Holding = true;
            m_TookOver = m_Ports.m_Clock.now();
            m_Moves.clear();
@@ -218,16 +226,47 @@
            adopt(Table);
            // A former holder may grant until its lease has run out by its own
            // count, for the longest time.
+           m_FormerHoldsEnd =
+               m_TookOver + m_Ports.m_Leases.longestLease() +
+                        m_Ports.m_Grants.grantTimeout() +
+                        holdBound(m_Times.m_LongestHold);
            for (auto &[Fence, State] : m_Grants)
-             State.m_HoldEnd = m_TookOver + m_Ports.m_Leases.longestLease() +
-                               m_Ports.m_Grants.grantTimeout() +
-                               holdBound(m_Times.m_LongestHold);
+             State.m_HoldEnd = State.m_HoldEndBefore = m_FormerHoldsEnd;
            log(Severity::Info, "lease_taken",
                {{"ranges", absl::StrCat(m_Table->ranges().size())}});
            tick();
          });
 }
 
+std::optional<EndedTerm> RangeKeeper::endedTerm() const {
+  const TimePoint Now = m_Ports.m_Clock.now();
+  if (m_Holding || m_OwnTerm == 0 || hasLease(Now))
+    return std::nullopt;
+  return EndedTerm{m_OwnTerm,
+                   std::chrono::duration_cast<Milliseconds>(
+                       std::max<Duration>(
+                           std::max(m_FormerHoldsEnd, m_OwnHoldsEnd) - Now,
+                           HoldMargin))};
+}
+
+void RangeKeeper::noteEndedTerm(const std::string &Host,
+                                const EndedTerm &Ended) {
+  if (!m_Holding || !(m_Former == OwnerLease{Host, Ended.m_Term}))
+    return;
+  const TimePoint End =
+      m_Ports.m_Clock.now() + Ended.m_HoldsLeft + HoldMargin;
+  if (End >= m_FormerHoldsEnd)
+    return;
+  log(Severity::Info, "former_term_ended",
+      {{"holder", Host},
+       {"holds_left_ms", absl::StrCat(Ended.m_HoldsLeft.count())}});
+  const TimePoint Assumed = std::exchange(m_FormerHoldsEnd, End);
+  for (auto &[Fence, State] : m_Grants)
+    for (TimePoint *Each : {&State.m_HoldEnd, &State.m_HoldEndBefore})
+      if (*Each == Assumed)
+        *Each = std::max(End, State.m_OwnHoldEnd);
+}
+
 void RangeKeeper::stepDown(const char *Why) {
   m_Holding = false;
   m_Moves.clear();
@@ -550,9 +589,11 @@
 void RangeKeeper::renewGrants(TimePoint Now) {
   if (!m_Holding || !hasLease(Now))
     return;
-  // While the log does not answer, owners get all the time that can be given;
-  // nobody else can decide about their keys meanwhile.
-  const bool Troubled = Now - m_Ports.m_Leases.confirmedAt() > LogTrouble;
+  // While the log answers nobody, owners get all the time that can be given;
+  // nobody else can decide about their keys meanwhile. If it answers others,
+  // one of them takes over, and must not have to wait for long holds.
+  const TimePoint Seen = std::max(m_Ports.m_Leases.confirmedAt(), m_LogSeen);
+  const bool Troubled = Now - Seen > LogTrouble;
   if (Troubled && !m_LogTroubled)
     for (auto &[Fence, State] : m_Grants)
       State.m_NextGrant = Now;
@@ -587,8 +628,11 @@
   // Noted before it is sent, in case the answer never comes.
   const TimePoint Arrived = Now + m_Ports.m_Grants.grantTimeout();
   State.m_HoldEndBefore = State.m_HoldEnd;
-  State.m_HoldEnd =
-      std::max(State.m_HoldEnd, Arrived + holdBound(Order.m_Hold));
+  const TimePoint End = Arrived + holdBound(Order.m_Hold);
+  State.m_HoldEnd = std::max(State.m_HoldEnd, End);
+  State.m_OwnHoldEndBefore = State.m_OwnHoldEnd;
+  State.m_OwnHoldEnd = std::max(State.m_OwnHoldEnd, End);
+  m_OwnHoldsEnd = std::max(m_OwnHoldsEnd, End);
   m_Ports.m_Grants.grant(To, Order,
                          [this, Alive = std::weak_ptr<bool>(m_Alive),
                           Fence = Range.m_Fence, Term = m_Lease.m_Term, Now,
@@ -628,6 +672,7 @@
       log(Severity::Error, "grant_rejected", {{"fence", absl::StrCat(Fence)}});
     ++State.m_UnreachableInRow;
     State.m_HoldEnd = State.m_HoldEndBefore;
+    State.m_OwnHoldEnd = State.m_OwnHoldEndBefore;
     State.m_NextGrant = Now + OrderPause;
     return;
   case OrderResult::OtherTarget:
@@ -639,6 +684,7 @@
   case OrderResult::Unreachable:
     ++State.m_UnreachableInRow;
     State.m_HoldEnd = State.m_HoldEndBefore;
+    State.m_OwnHoldEnd = State.m_OwnHoldEndBefore;
     State.m_NextGrant = Now + OrderPause;
     return;
   case OrderResult::Unanswered:
--- a/src/keyowner/rangekeeper.h
+++ b/src/keyowner/rangekeeper.h
@@ -12,10 +12,12 @@
 #include "ports/leasesource.h"
 #include "ports/sharedlog.h"
 
+#include <algorithm>
 #include <deque>
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -102,6 +104,13 @@
   /// Another host has recorded changes. They are used for requests only: before
   /// this host decides anything it reads the log.
   void noteNews(const OwnersNews &News);
+  /// The last term in which this host held the lease, once it is over.
+  std::optional<EndedTerm> endedTerm() const;
+  /// A host tells of a term of its own that is over. From the holder before
+  /// this one it shortens the time for which owners out of reach keep keys.
+  void noteEndedTerm(const std::string &Host, const EndedTerm &Ended);
+  /// Some host has read the log at that moment, so that it is up.
+  void noteLogSeen(TimePoint At) { m_LogSeen = std::max(m_LogSeen, At); }
   /// The topic of the log, and how it is read; see TopicFollower.
   const std::string &topic() const { return m_Topic; }
   TopicFollower &follower() { return m_Follower; }
@@ -126,6 +135,9 @@
     TimePoint m_HoldEnd{};
     /// The same without the order that is under way.
     TimePoint m_HoldEndBefore{};
+    /// Both counting the orders of this holder alone.
+    TimePoint m_OwnHoldEnd{};
+    TimePoint m_OwnHoldEndBefore{};
     /// Until when an order without an answer may still be carried out.
     TimePoint m_UnansweredUntil{};
     TimePoint m_NextGrant{};
@@ -206,6 +218,14 @@
 
   bool m_Holding = false;
   TimePoint m_TookOver{};
+  /// The lease that this host's own followed on.
+  OwnerLease m_Former;
+  uint64_t m_OwnTerm = 0;
+  /// Until when owners may hold keys by the orders of former holders, and by
+  /// those of this one.
+  TimePoint m_FormerHoldsEnd{};
+  TimePoint m_OwnHoldsEnd{};
+  TimePoint m_LogSeen{};
   /// True while grants are given for the longest time.
   bool m_LogTroubled = false;
 
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -268,10 +268,22 @@
       m_NextRating = Now + RatingInterval;
       rateTargets();
     }
+    noteLogSeen();
     m_Keepers.tick();
     m_Dispatcher.tick();
   }
 
+  /// What any host has read of any topic shows that the log is up.
+  void noteLogSeen() {
+    const auto Note = [this](const std::string & /*Topic*/,
+                             const TopicFollower &Each) {
+      m_Keepers.noteLogSeen(Each.coveredAt());
+    };
+    Note(OperatorTopic, m_Operators);
+    Note(TargetTopic, m_Members);
+    m_Keepers.forEachFollower(Note);
+  }
+
   /// Place of this host in the order in which hosts read a topic.
   size_t rankFor(const std::string &Topic) const {
     const auto Order = [&Topic](const std::string &Host) {
--- a/tests/keyowner/keeperworld.cpp
+++ b/tests/keyowner/keeperworld.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr Milliseconds TickInterval{50};
+constexpr Milliseconds ReportInterval{200};
 constexpr Milliseconds MemberInterval{400};
 constexpr Milliseconds NetworkDelay{2};
 constexpr Milliseconds CallTimeout{900};
@@ -314,6 +315,7 @@
   }
   m_Time.after(Milliseconds(0), [this]() { tellMembers(); });
   m_Time.after(Milliseconds(0), [this]() { dealLeases(); });
+  m_Time.after(Milliseconds(0), [this]() { tellHosts(); });
 }
 
 KeeperWorld::~KeeperWorld() = default;
@@ -334,6 +336,39 @@
       absl::StrCat("host", Index, "#", Each.m_Life), Pool, "owners", m_Times,
       RangeKeeper::Parts{m_Time, *Each.m_Log, *Each.m_Grants, *Each.m_Leases,
                          *m_EventSink});
+  Each.m_Keeper->follower().setRank(Index);
+}
+
+void KeeperWorld::tellHosts() {
+  for (unsigned From = 0; From < hosts(); ++From) {
+    RangeKeeper *Keeper = keeper(From);
+    if (!Keeper || m_Time.now() < m_Hosts[From]->m_PausedUntil)
+      continue;
+    HostReport Report;
+    Report.m_Host = absl::StrCat("host", From, "#", m_Hosts[From]->m_Life);
+    Report.m_News = Keeper->takeNews();
+    if (Keeper->isSynced())
+      Report.m_Topics.emplace("owners", Keeper->follower().progress());
+    if (const auto Ended = Keeper->endedTerm())
+      Report.m_EndedTerms.emplace(Pool, *Ended);
+    for (unsigned To = 0; To < hosts(); ++To)
+      if (To != From && chance() >= m_LostReports)
+        deliver(To, NetworkDelay,
+                [this, From, To, Report]() { report(From, To, Report); });
+  }
+  m_Time.after(ReportInterval, [this]() { tellHosts(); });
+}
+
+void KeeperWorld::report(unsigned From, unsigned To, const HostReport &Report) {
+  RangeKeeper &Keeper = *keeper(To);
+  for (const OwnersNews &Each : Report.m_News)
+    Keeper.noteNews(Each);
+  for (const auto &[Topic, Progress] : Report.m_Topics)
+    Keeper.follower().notePeer(Progress);
+  for (const auto &[Name, Ended] : Report.m_EndedTerms)
+    Keeper.noteEndedTerm(Report.m_Host, Ended);
+  if (m_CutFromLog.count(From) == 0 && !m_LogDown)
+    Keeper.noteLogSeen(m_Time.now());
 }
 
 void KeeperWorld::crashHost(unsigned Index) {
--- a/tests/keyowner/keeperworld.h
+++ b/tests/keyowner/keeperworld.h
@@ -84,6 +84,8 @@
   double m_LateAppends = 0;
   Duration m_LogDelay = Milliseconds(4);
   std::set<unsigned> m_CutFromLog;
+  /// Part of the reports between hosts that are lost.
+  double m_LostReports = 0.1;
   std::set<std::pair<unsigned, std::string>> m_CutFromServer;
   /// Part of the grants that are not answered and carried out late.
   double m_LateGrants = 0;
@@ -121,6 +123,8 @@
 
   void tickHost(unsigned Host);
   void tellMembers();
+  void tellHosts();
+  void report(unsigned From, unsigned To, const HostReport &Report);
   void dealLeases();
   void appended();
   void carryOut(const std::string &Life, const std::string &Address,
--- a/tests/keyowner/rangekeepertest.cpp
+++ b/tests/keyowner/rangekeepertest.cpp
@@ -158,6 +158,39 @@
     CHECK(firstViolation(World) == "");
   }
 
+  TEST_CASE("a holder that lost the log alone tells its successor that no long "
+            "holds are left") {
+    KeeperWorld World(4, 8, 14);
+    World.run(seconds(8));
+    const int Former = World.holder();
+    REQUIRE(Former >= 0);
+    World.m_CutFromLog.insert(static_cast<unsigned>(Former));
+    World.run(seconds(3));
+    CHECK(World.holder() != Former);
+    const auto Ids = World.serverIds();
+    World.crashServer(Ids[0]);
+    World.crashServer(Ids[1]);
+    World.run(seconds(5));
+    CHECK(World.unservedKeys() == 0);
+    CHECK(firstViolation(World) == "");
+  }
+
+  TEST_CASE("a successor of a holder that is lost waits for the longest holds") {
+    KeeperWorld World(4, 8, 15);
+    World.run(seconds(8));
+    World.m_LogDown = true;
+    World.run(Milliseconds(1450));
+    const int Former = World.holder();
+    REQUIRE(Former >= 0);
+    World.crashHost(static_cast<unsigned>(Former));
+    World.m_LogDown = false;
+    const auto Ids = World.serverIds();
+    for (int Count = 0; Count < 3; ++Count)
+      World.darkServer(Ids[static_cast<size_t>(Count)], seconds(9));
+    World.run(seconds(20));
+    CHECK(firstViolation(World) == "");
+  }
+
   TEST_CASE("keys of a server whose address went to another kind of server are "
             "served again after its hold") {
     KeeperWorld World(3, 6, 12);
