Reports between the regular ones are brief; failed reads back off

Cold targets' heartbeats counted as changes. Hosts that can't reach the store asked it every 150 ms per topic, and refused calls are paid for as well. Change: hurried reports tell only topics, changes and terms; only a longer warm-up than known is a change; failed reads pause up to 600 ms.

--- a/src/codec/hostreportcodec.cpp
+++ b/src/codec/hostreportcodec.cpp
@@ -113,6 +113,7 @@
   Json::Value Value;
   Value["h"] = Report.m_Host;
   Value["n"] = Json::UInt64(Report.m_Sequence);
+  Value["b"] = Report.m_Brief;
   Value["f"] = encodeCounts(Report.m_InFlight);
   Value["w"] = encodeCounts(Report.m_Waiting);
   Value["t"] = encodeTopics(Report.m_Topics);
@@ -150,6 +151,7 @@
   HostReport Report;
   Report.m_Host = Value["h"].asString();
   Report.m_Sequence = Value["n"].asUInt64();
+  Report.m_Brief = Value["b"].isBool() && Value["b"].asBool();
   if (!decodeCounts(Value["f"], Report.m_InFlight) ||
       !decodeCounts(Value["w"], Report.m_Waiting) ||
       !decodeTopics(Value["t"], Report.m_Topics))
--- a/src/core/hostreport.h
+++ b/src/core/hostreport.h
@@ -79,6 +79,9 @@
   std::string m_Host;
   /// Rises with each report of the host.
   uint64_t m_Sequence = 0;
+  /// True for one that is sent between the regular ones and tells only what is
+  /// read, recorded and over.
+  bool m_Brief = false;
   /// Requests in flight by target; targets without any are left out.
   std::map<std::string, int> m_InFlight;
   /// Requests that wait for the owner of their key, by target.
@@ -93,7 +96,7 @@
   std::map<std::string, EndedTerm> m_EndedTerms;
 
   auto tie() const {
-    return std::tie(m_Host, m_Sequence, m_InFlight, m_Waiting, m_KeyCounts,
+    return std::tie(m_Host, m_Sequence, m_Brief, m_InFlight, m_Waiting, m_KeyCounts,
                     m_Topics, m_News, m_EndedTerms);
   }
   friend bool operator==(const HostReport &A, const HostReport &B) {
--- a/src/entry/keeperset.cpp
+++ b/src/entry/keeperset.cpp
@@ -113,11 +113,16 @@
                      [](const auto &Each) { return Each.second->hasNews(); });
 }
 
-void KeeperSet::fill(HostReport &Report) {
+void KeeperSet::fillCounts(HostReport &Report) {
   for (const auto &[Pool, Keeper] : m_Keepers) {
     auto Counts = Keeper->takeCounts();
     if (!Counts.empty())
       Report.m_KeyCounts.emplace(Pool, std::move(Counts));
+  }
+}
+
+void KeeperSet::fillNews(HostReport &Report) {
+  for (const auto &[Pool, Keeper] : m_Keepers) {
     for (OwnersNews &Each : Keeper->takeNews())
       Report.m_News.push_back(std::move(Each));
     if (const auto Ended = Keeper->endedTerm())
--- a/src/entry/keeperset.h
+++ b/src/entry/keeperset.h
@@ -38,8 +38,10 @@
                                                 TopicFollower &)> &Call);
   /// True when this host has recorded changes that the others don't know yet.
   bool hasNews() const;
-  /// Adds what arrived and changed here since the last call to a report.
-  void fill(HostReport &Report);
+  /// Adds the requests that arrived since the last call to a report.
+  void fillCounts(HostReport &Report);
+  /// Adds what changed since the last call, and the terms that are over.
+  void fillNews(HostReport &Report);
   void noteReport(const HostReport &Report);
   /// Some host has read the log at that moment.
   void noteLogSeen(TimePoint At);
--- a/src/membership/targetdirectory.cpp
+++ b/src/membership/targetdirectory.cpp
@@ -37,11 +37,12 @@
   TargetInfo &Known = m_Targets[Entry.m_Id];
   if (Known == Entry)
     return WasLapsed;
+  // The time for which it stays cold runs down by itself.
   TargetInfo SameBeat = Known;
   SameBeat.m_Sequence = Entry.m_Sequence;
-  // Each beat of a cold target tells how long it stays cold.
-  const bool Tells =
-      WasLapsed || !(SameBeat == Entry) || Entry.m_WarmupLeft.count() > 0;
+  SameBeat.m_WarmupLeft = Entry.m_WarmupLeft;
+  const bool Tells = WasLapsed || !(SameBeat == Entry) ||
+                     Entry.m_WarmupLeft > Known.m_WarmupLeft;
   Known = Entry;
   m_Changed = true;
   return Tells;
--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -7,8 +7,9 @@
 
 namespace {
 
-/// Pause after a read that failed.
+/// Pause after a read that failed, doubled with each further one.
 constexpr Milliseconds RetryPause{150};
+constexpr Milliseconds LongestRetryPause{600};
 /// Hosts that don't lead read one after the other, so that the first one's read
 /// serves the others as well.
 constexpr Milliseconds RankPause{40};
@@ -19,7 +20,7 @@
 TopicFollower::TopicFollower(Options Config, SharedLog &Log, const Clock &Time,
                              Callback Records)
     : m_Config(std::move(Config)), m_Log(Log), m_Clock(Time),
-      m_Records(std::move(Records)) {}
+      m_Records(std::move(Records)), m_RetryPause(RetryPause) {}
 
 void TopicFollower::tick() {
   if (m_Reading || !isDue(m_Clock.now()))
@@ -75,6 +76,7 @@
 
 void TopicFollower::passOn(const KeyedPage &Page, bool Whole) {
   m_CoveredAt = m_ReadAt = m_Clock.now();
+  m_RetryPause = RetryPause;
   if (m_Records(Page, Whole) || Whole)
     m_Changed = std::max(m_Changed, m_End);
 }
@@ -127,7 +129,8 @@
 
 void TopicFollower::failed(ErrorKind Kind) {
   m_StartOver = m_StartOver || Kind == ErrorKind::RecordsExpired;
-  m_NextRead = m_Clock.now() + RetryPause;
+  m_NextRead = m_Clock.now() + m_RetryPause;
+  m_RetryPause = std::min(2 * m_RetryPause, LongestRetryPause);
 }
 
 } // namespace monsoon
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -94,6 +94,7 @@
   /// that is passed on and on would never grow old.
   TimePoint m_ReadAt{};
   TimePoint m_NextRead{};
+  Milliseconds m_RetryPause;
 };
 
 } // namespace monsoon
--- a/src/membership/workexchange.cpp
+++ b/src/membership/workexchange.cpp
@@ -32,10 +32,14 @@
 
 void WorkExchange::tick() {
   const TimePoint Now = m_Clock.now();
-  if (Now < m_NextReport || m_Peers.empty())
+  const bool Brief = Now < m_NextReport;
+  if (m_Peers.empty() || (Brief && !m_Hurrying))
     return;
-  m_NextReport = Now + ReportInterval;
-  HostReport Report = m_Source();
+  m_Hurrying = false;
+  if (!Brief)
+    m_NextReport = Now + ReportInterval;
+  HostReport Report = m_Source(Brief);
+  Report.m_Brief = Brief;
   Report.m_Host = m_Host;
   Report.m_Sequence = ++m_Sequence;
   const std::string Message = encodeHostReport(Report);
@@ -49,11 +53,14 @@
     return;
   Known &Former = m_Known[Report.value().m_Host];
   // Late and doubled reports are older than what is known.
-  if (Report.value().m_Sequence <= Former.m_Report.m_Sequence)
+  if (Report.value().m_Sequence <= Former.m_Sequence)
+    return;
+  Former.m_Sequence = Report.value().m_Sequence;
+  m_Sink(Report.value());
+  if (Report.value().m_Brief)
     return;
   Former.m_Report = std::move(Report).value();
   Former.m_At = m_Clock.now();
-  m_Sink(Former.m_Report);
 }
 
 size_t WorkExchange::reportingHosts() const {
--- a/src/membership/workexchange.h
+++ b/src/membership/workexchange.h
@@ -25,8 +25,9 @@
 /// promises, so lost reports cost quality and nothing else.
 class WorkExchange {
 public:
-  /// Writes what this host has in flight and has counted since the last call.
-  using Source = std::function<HostReport()>;
+  /// Writes what this host has read and recorded and, unless it is to be
+  /// brief, what it has in flight and has counted since the last call.
+  using Source = std::function<HostReport(bool Brief)>;
   /// A report of another host came.
   using Sink = std::function<void(const HostReport &)>;
 
@@ -36,8 +37,8 @@
   /// The other hosts and where they receive.
   void setPeers(std::map<std::string, Endpoint> Peers);
   void tick();
-  /// Sends a report at the next tick, without regard to the interval.
-  void hurry() { m_NextReport = {}; }
+  /// Sends a brief report at the next tick, without regard to the interval.
+  void hurry() { m_Hurrying = true; }
 
   /// Hosts whose reports are recent, this one included.
   size_t reportingHosts() const;
@@ -45,6 +46,7 @@
 
 private:
   struct Known {
+    uint64_t m_Sequence = 0;
     HostReport m_Report;
     TimePoint m_At{};
   };
@@ -59,6 +61,7 @@
   std::map<std::string, Known> m_Known;
   uint64_t m_Sequence = 0;
   TimePoint m_NextReport{};
+  bool m_Hurrying = false;
 };
 
 } // namespace monsoon
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -109,7 +109,8 @@
             [this](const std::string &Pool) { return m_Keepers.find(Pool); }),
         m_PeerChannel(m_Loop),
         m_Work(
-            m_HostId, m_PeerChannel, m_Time, [this]() { return ownReport(); },
+            m_HostId, m_PeerChannel, m_Time,
+            [this](bool Brief) { return ownReport(Brief); },
             [this](const HostReport &Report) { noteReport(Report); }),
         m_Operators(
             {OperatorTopic, ConfigWait, Milliseconds(0), StandbyAge,
@@ -325,11 +326,14 @@
                 static_cast<double>(m_Work.reportingHosts()));
   }
 
-  HostReport ownReport() {
+  HostReport ownReport(bool Brief) {
     HostReport Report;
-    Report.m_InFlight = m_Targets.inFlight();
-    Report.m_Waiting = m_Dispatcher.waiting();
-    m_Keepers.fill(Report);
+    if (!Brief) {
+      Report.m_InFlight = m_Targets.inFlight();
+      Report.m_Waiting = m_Dispatcher.waiting();
+      m_Keepers.fillCounts(Report);
+    }
+    m_Keepers.fillNews(Report);
     const auto Add = [&Report](const std::string &Topic,
                                const TopicFollower &Each) {
       if (Each.isSynced())
@@ -351,7 +355,7 @@
     Note(OperatorTopic, m_Operators);
     Note(TargetTopic, m_Members);
     m_Keepers.forEachFollower(Note);
-    m_OthersReported = true;
+    m_OthersReported = m_OthersReported || !Report.m_Brief;
   }
 
   /// Many reports come between two ticks and are added up once.
--- a/tests/membership/workexchangetest.cpp
+++ b/tests/membership/workexchangetest.cpp
@@ -53,12 +53,17 @@
       m_Hosts.push_back(std::make_unique<WorkExchange>(
           "h" + std::to_string(Number),
           *m_Switch.m_Ports[static_cast<size_t>(Number)], m_Time,
-          [this, Number]() {
+          [this, Number](bool Brief) {
             HostReport Report;
-            Report.m_InFlight = m_InFlight[Number];
+            if (Brief)
+              Report.m_Topics = {{"owners", {5, 5, milliseconds(0)}}};
+            else
+              Report.m_InFlight = m_InFlight[Number];
             return Report;
           },
-          [](const HostReport & /*Report*/) {}));
+          [this](const HostReport &Report) {
+            m_Topics += Report.m_Topics.size();
+          }));
       m_Hosts.back()->setPeers(Peers);
     }
   }
@@ -74,6 +79,7 @@
   StillClock m_Time;
   Switch m_Switch;
   std::map<int, std::map<std::string, int>> m_InFlight;
+  size_t m_Topics = 0;
   std::vector<std::unique_ptr<WorkExchange>> m_Hosts;
 };
 
@@ -88,6 +94,16 @@
   CHECK(Given.m_Hosts[0]->elsewhere().m_Coverage == 1);
 }
 
+TEST_CASE("a brief report comes at once and leaves the counts as they were") {
+  ThreeHosts Given;
+  Given.m_InFlight = {{0, {{"t1", 2}}}};
+  Given.run(milliseconds(500));
+  Given.m_Hosts[0]->hurry();
+  Given.run(milliseconds(50));
+  CHECK(Given.m_Topics == 2);
+  CHECK(Given.m_Hosts[1]->elsewhere().m_InFlight["t1"] == 2);
+}
+
 TEST_CASE("what a silent host told is soon forgotten") {
   ThreeHosts Given;
   Given.m_InFlight = {{0, {{"t1", 2}}}};
