Soak of real processes; tests of the topics' followers and of the membership

Entry hosts run as processes of their own between callers, servers, a store and proxies that delay, reset, silence or cut one way; hosts are stopped, paused, killed and restarted; servers crash, drain, lose answers and are cut from the store. A referee compares what callers were told with what servers did.

--- a/tests/membership/targetdirectorytest.cpp
+++ b/tests/membership/targetdirectorytest.cpp
@@ -88,3 +88,19 @@
   Given.enter("t1", 6, 2);
   CHECK(Given.has("t1"));
 }
+
+TEST_CASE("a heartbeat alone tells nothing that other hosts need") {
+  TargetDirectory Directory;
+  TargetInfo Entry;
+  Entry.m_Id = "t1";
+  Entry.m_Incarnation = Entry.m_Sequence = 1;
+  CHECK(Directory.noteEntry(TimePoint(seconds(1)), Entry));
+  Entry.m_Sequence = 2;
+  CHECK(!Directory.noteEntry(TimePoint(seconds(2)), Entry));
+  Entry.m_WarmupLeft = Milliseconds(3000);
+  CHECK(Directory.noteEntry(TimePoint(seconds(3)), Entry));
+  Entry.m_WarmupLeft = Milliseconds(2000);
+  CHECK(!Directory.noteEntry(TimePoint(seconds(4)), Entry));
+  Entry.m_Draining = true;
+  CHECK(Directory.noteEntry(TimePoint(seconds(5)), Entry));
+}
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -244,22 +244,34 @@
   return jsonAnswer(200, Value);
 }
 
+void StoreStandIn::dropSilentMembers() {
+  const TimePoint Now = m_Time.now();
+  for (auto It = m_Members.begin(); It != m_Members.end();) {
+    if (Now < It->second) {
+      ++It;
+      continue;
+    }
+    It = m_Members.erase(It);
+    ++m_Generation;
+  }
+}
+
 HttpAnswer StoreStandIn::groupCall(const HttpRequest &Request) {
   const auto Body = parseJson(Request.m_Body.empty() ? "{}" : Request.m_Body,
                               "call", ErrorKind::BadRequest);
   if (!Body)
     return plainAnswer(400);
   const std::string Member = Body.value()["member"].asString();
-  const auto Known = std::find(m_Members.begin(), m_Members.end(), Member);
+  dropSilentMembers();
   if (Request.path() == "/v1/log-leave") {
-    if (Known != m_Members.end())
-      m_Members.erase(Known);
-    ++m_Generation;
+    if (m_Members.erase(Member) > 0)
+      ++m_Generation;
     return jsonAnswer(200, Json::objectValue);
   }
-  if (Request.path() == "/v1/log-join" && Known == m_Members.end()) {
-    m_Members.push_back(Member);
-    ++m_Generation;
+  if (Request.path() == "/v1/log-join") {
+    const Milliseconds Stay(Body.value()["ttl_ms"].asInt64());
+    if (m_Members.insert_or_assign(Member, m_Time.now() + Stay).second)
+      ++m_Generation;
   }
   Json::Value Value;
   Value["generation"] = Json::UInt64(m_Generation);
@@ -269,7 +281,10 @@
     for (unsigned Part = 0; Part < DutyParts; ++Part) {
       if (m_Members.empty())
         break;
-      const std::string &Owner = m_Members[Turn++ % m_Members.size()];
+      const std::string &Owner =
+          std::next(m_Members.begin(),
+                    static_cast<std::ptrdiff_t>(Turn++ % m_Members.size()))
+              ->first;
       Json::Value Row(Json::arrayValue);
       Row.append("monsoon.duties-" + std::to_string(Topic));
       Row.append(Part);
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -57,13 +57,15 @@
   HttpAnswer newestCall(const HttpRequest &Request);
   HttpAnswer readPage(const Topic &Where, uint64_t From) const;
   HttpAnswer groupCall(const HttpRequest &Request);
+  void dropSilentMembers();
 
   boost::asio::io_context &m_Loop;
   BootTimeClock m_Time;
   Acceptor m_Acceptor;
   std::map<std::string, Topic> m_Topics;
   std::vector<std::weak_ptr<LongRead>> m_Waiting;
-  std::vector<std::string> m_Members;
+  /// Members of the group and until when they stay.
+  std::map<std::string, TimePoint> m_Members;
   uint64_t m_Generation = 0;
 };
 
--- /dev/null
+++ b/tests/soak/hostprocess.cpp
@@ -0,0 +1,137 @@
+#include "soak/hostprocess.h"
+
+#include "net/address.h"
+
+#include "absl/strings/str_cat.h"
+
+#include <boost/asio/ip/udp.hpp>
+
+#include <fcntl.h>
+#include <spawn.h>
+#include <sys/wait.h>
+
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <utility>
+
+extern char **environ;
+
+namespace monsoon {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int LogMode = 0644;
+
+/// A port that nothing uses at the moment.
+template <typename Protocol> Endpoint freeAddress(asio::io_context &Loop) {
+  typename Protocol::socket Socket(
+      Loop, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  return {"127.0.0.1", Socket.local_endpoint().port()};
+}
+
+} // namespace
+
+HostProcess::HostProcess(asio::io_context &Loop, std::string Program,
+                         std::string Name, std::string Domain,
+                         std::string Folder, const Endpoint &Store)
+    : m_Program(std::move(Program)), m_Name(std::move(Name)),
+      m_Domain(std::move(Domain)), m_Folder(std::move(Folder)),
+      m_StoreProxy(Loop, Store),
+      m_Callers(freeAddress<asio::ip::tcp>(Loop)),
+      m_Readiness(freeAddress<asio::ip::tcp>(Loop)),
+      m_Metrics(freeAddress<asio::ip::tcp>(Loop)),
+      m_Peers(freeAddress<asio::ip::udp>(Loop)) {}
+
+HostProcess::~HostProcess() {
+  if (!isRunning())
+    return;
+  resume();
+  signal(SIGKILL);
+  waitpid(m_Pid, nullptr, 0);
+}
+
+bool HostProcess::writeSettings() const {
+  std::ofstream File(absl::StrCat(m_Folder, "/", m_Name, ".json"));
+  File << "{\"host\":\"" << m_Name << "\",\"failure_domain\":\"" << m_Domain
+       << "\",\"callers\":\"" << endpointText(m_Callers)
+       << "\",\"readiness\":\"" << endpointText(m_Readiness)
+       << "\",\"metrics\":\"" << endpointText(m_Metrics) << "\",\"peers\":\""
+       << endpointText(m_Peers) << "\",\"log\":\""
+       << endpointText(m_StoreProxy.address())
+       << "\",\"retry_ratio\":0.2,\"retry_slack\":60,\"retry_window_s\":10,"
+          "\"longest_hold_ms\":10000,\"stop_limit_s\":6}\n";
+  return File.good();
+}
+
+bool HostProcess::start() {
+  if (isRunning() || !writeSettings())
+    return false;
+  const std::string Settings = absl::StrCat(m_Folder, "/", m_Name, ".json");
+  const std::string Log = absl::StrCat(m_Folder, "/", m_Name, ".log");
+  std::string Program = m_Program;
+  std::string Option = "--gateway";
+  std::string Path = Settings;
+  const std::array<char *, 4> Arguments = {Program.data(), Option.data(),
+                                           Path.data(), nullptr};
+  posix_spawn_file_actions_t Files;
+  posix_spawn_file_actions_init(&Files);
+  posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, Log.c_str(),
+                                   O_WRONLY | O_CREAT | O_APPEND, LogMode);
+  posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
+  const int Failed = posix_spawn(&m_Pid, m_Program.c_str(), &Files, nullptr,
+                                 Arguments.data(), environ);
+  posix_spawn_file_actions_destroy(&Files);
+  if (Failed != 0)
+    m_Pid = 0;
+  m_Paused = m_Stopping = false;
+  return Failed == 0;
+}
+
+void HostProcess::signal(int Number) const {
+  if (isRunning())
+    ::kill(m_Pid, Number);
+}
+
+void HostProcess::stop() {
+  m_Stopping = true;
+  signal(SIGTERM);
+}
+
+void HostProcess::kill() {
+  noteDisturbed();
+  signal(SIGKILL);
+}
+
+void HostProcess::pause() {
+  noteDisturbed();
+  m_Paused = true;
+  signal(SIGSTOP);
+}
+
+void HostProcess::resume() {
+  if (!std::exchange(m_Paused, false))
+    return;
+  noteDisturbed();
+  m_ResumedAt = m_DisturbedAt;
+  signal(SIGCONT);
+}
+
+void HostProcess::reload() { signal(SIGHUP); }
+
+void HostProcess::noteDisturbed() {
+  m_DisturbedAt = std::chrono::steady_clock::now();
+}
+
+bool HostProcess::poll() {
+  int Status = 0;
+  if (!isRunning() || waitpid(m_Pid, &Status, WNOHANG) != m_Pid)
+    return false;
+  m_Pid = 0;
+  m_ExitCode = WIFEXITED(Status) ? WEXITSTATUS(Status) : -1;
+  return true;
+}
+
+} // namespace monsoon
