Hosts prefer different targets; a superseded holder waits to be dealt the lease anew

The stand-in dealt a duty before its former member had given it back, which the platform does not; but the platform also deals all anew at once at times. Change: a host that sees another take the lease over waits for its next confirmation. The stand-in keeps duties with their former member until that has joined with the new generation, as the platform's pages say; the test of the store's client now joins with generations and checks besides that no duty has two members.

Change: each host counts each target as up to half slower, by a fixed hash.

--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -29,6 +29,8 @@
 /// A waiting request is refused when less than this part of the usual time is
 /// left.
 constexpr double HopelessPart = 0.7;
+/// Grain of the preferences of hosts among targets.
+constexpr uint64_t ReserveSteps = 64;
 /// Bounds of the time after which a refused caller is asked to return.
 constexpr Milliseconds ShortestReturn{50};
 constexpr Milliseconds LongestReturn{1000};
@@ -193,6 +195,10 @@
     One.m_Load = &Each->load();
     One.m_SameDomain = Each->info().m_FailureDomain == m_Parts.m_FailureDomain;
     One.m_PaceAllows = paceAllows(*Each, Now);
+    One.m_Reserve =
+        static_cast<double>(stableHash(m_Parts.m_HostName + Each->info().m_Id) %
+                            ReserveSteps) /
+        ReserveSteps;
     One.m_TriedBefore = Request.wasTriedAt(Each->info().m_Id);
     Candidates.push_back(One);
     Nodes.push_back(Each);
--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -115,6 +115,8 @@
     }
     const bool NewHolder = !(Lease.value() == m_Lease);
     m_Lease = Lease.value();
+    if (NewHolder && m_Lease.m_Holder != m_Host)
+      m_SupersededAt = m_Ports.m_Clock.now();
     if (m_Holding && m_Lease.m_Holder != m_Host)
       stepDown("another host holds the lease");
     if (NewHolder)
@@ -185,7 +187,10 @@
     return;
   }
   if (!m_Holding) {
-    takeOver();
+    // The other host was dealt the lease later; whether it is this one's again
+    // is known when it is confirmed anew.
+    if (m_Ports.m_Leases.confirmedAt() > m_SupersededAt)
+      takeOver();
     return;
   }
   if (m_Table->ranges().empty()) {
--- a/src/keyowner/rangekeeper.h
+++ b/src/keyowner/rangekeeper.h
@@ -218,6 +218,8 @@
 
   bool m_Holding = false;
   TimePoint m_TookOver{};
+  /// When another host was seen to have taken the lease over.
+  TimePoint m_SupersededAt{};
   /// The lease that this host's own followed on.
   OwnerLease m_Former;
   uint64_t m_OwnTerm = 0;
--- a/src/policy/targetchooser.cpp
+++ b/src/policy/targetchooser.cpp
@@ -10,6 +10,9 @@
 /// Requests beyond the slots that a target may hold: one keeps it busy while
 /// the next answer travels.
 constexpr double QueuedAhead = 1;
+/// Hosts that know the same would all choose the same target until they hear of
+/// each other; so each of them counts some targets as slower, up to this part.
+constexpr double LargestReserve = 0.5;
 /// Penalty for a target that was tried before.
 constexpr double RepeatFactor = 1000;
 
@@ -46,6 +49,7 @@
     double Time =
         static_cast<double>(Each.m_Load->expectedTime(Now, Usual).count());
     Time *= Each.m_SameDomain ? 1 : m_DistanceFactor;
+    Time *= 1 + LargestReserve * Each.m_Reserve;
     Time *= Each.m_TriedBefore ? RepeatFactor : 1;
     if (Time < BestTime) {
       BestTime = Time;
--- a/tests/keyowner/keeperworld.cpp
+++ b/tests/keyowner/keeperworld.cpp
@@ -390,8 +390,11 @@
   };
   // A silent member keeps its duty until its stay is over, unless all are dealt
   // anew.
+  int JustAsked = -1;
   if (!m_LogDown && (Now >= m_LeaseEnd || m_DealAnew)) {
-    m_DealAnew = false;
+    // The former member counts on its lease until it asks again.
+    if (std::exchange(m_DealAnew, false))
+      JustAsked = static_cast<int>(m_LeaseMember);
     m_LeaseMember = (m_LeaseMember + 1) % hosts();
     for (unsigned Tries = 0; Tries < hosts() && !Reaches(m_LeaseMember);
          ++Tries)
@@ -399,7 +402,7 @@
     m_LeaseEnd = Now;
   }
   for (unsigned Index = 0; Index < hosts(); ++Index) {
-    if (!Reaches(Index))
+    if (!Reaches(Index) || static_cast<int>(Index) == JustAsked)
       continue;
     const bool Holds = Index == m_LeaseMember;
     if (Holds)
--- a/tests/keyowner/rangekeepertest.cpp
+++ b/tests/keyowner/rangekeepertest.cpp
@@ -191,6 +191,19 @@
     CHECK(firstViolation(World) == "");
   }
 
+  TEST_CASE("hosts that both count on the lease don't take it from each other "
+            "again and again") {
+    KeeperWorld World(4, 6, 16);
+    World.run(seconds(8));
+    for (int Round = 0; Round < 5; ++Round) {
+      const uint64_t Before = World.keeper(0)->lease().m_Term;
+      World.m_DealAnew = true;
+      World.run(seconds(3));
+      CHECK(World.keeper(0)->lease().m_Term - Before <= 2);
+    }
+    CHECK(firstViolation(World) == "");
+  }
+
   TEST_CASE("keys of a server whose address went to another kind of server are "
             "served again after its hold") {
     KeeperWorld World(3, 6, 12);
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest.h>
 
+#include <map>
+
 using namespace monsoon;
 
 namespace {
@@ -130,17 +132,24 @@
 
 TEST_CASE("members of the group share its duties") {
   StoreBench Bench;
-  const auto Join = [&Bench](const std::string &Member) {
+  std::map<std::string, uint64_t> Generations;
+  const auto Join = [&](const std::string &Member) {
     std::optional<Outcome<GroupShare>> Result;
     Bench.m_Client.join(
-        Member, Milliseconds(1500), 0,
+        Member, Milliseconds(1500), Generations[Member],
         [&](const Outcome<GroupShare> &Share) { Result = Share; });
-    return Bench.wait(Result).value();
+    const GroupShare Share = Bench.wait(Result).value();
+    Generations[Member] = Share.m_Generation;
+    return Share;
   };
+  CHECK(Join("a").m_Duties.size() == Bench.m_Client.duties());
+  // What "a" may still count on is nobody else's until it has seen the change.
+  CHECK(Join("b").m_Duties.empty());
   Join("a");
-  const GroupShare B = Join("b");
   const GroupShare A = Join("a");
+  const GroupShare B = Join("b");
   CHECK(A.m_Duties.size() + B.m_Duties.size() == Bench.m_Client.duties());
+  CHECK(!B.m_Duties.empty());
   for (const uint32_t Duty : A.m_Duties)
     CHECK(B.m_Duties.count(Duty) == 0);
   std::optional<Outcome<std::set<std::string>>> Members;
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -16,6 +16,7 @@
 
 constexpr size_t OffsetBytes = 8;
 constexpr size_t LengthBytes = 4;
+constexpr unsigned DutyTopics = 4;
 constexpr unsigned DutyParts = 12;
 
 std::string bigEndian(uint64_t Value, size_t Bytes) {
@@ -246,16 +247,41 @@
 
 void StoreStandIn::dropSilentMembers() {
   const TimePoint Now = m_Time.now();
+  bool Any = false;
   for (auto It = m_Members.begin(); It != m_Members.end();) {
-    if (Now < It->second) {
-      ++It;
-      continue;
-    }
-    It = m_Members.erase(It);
-    ++m_Generation;
+    const bool Gone = Now >= It->second.m_Until;
+    Any = Any || Gone;
+    It = Gone ? m_Members.erase(It) : std::next(It);
+  }
+  if (Any)
+    dealDuties();
+}
+
+void StoreStandIn::dealDuties() {
+  ++m_Generation;
+  auto Next = m_Members.begin();
+  for (unsigned Number = 0; Number < DutyTopics * DutyParts; ++Number) {
+    if (Next == m_Members.end())
+      Next = m_Members.begin();
+    Duty &Each = m_Duties[Number];
+    const std::string Former = holderOf(Number);
+    if (!Former.empty())
+      Each.m_Former = Former;
+    Each.m_Dealt = Next == m_Members.end() ? "" : (Next++)->first;
   }
 }
 
+std::string StoreStandIn::holderOf(unsigned Number) {
+  // Its former member gives a duty back by joining with this generation.
+  Duty &Each = m_Duties[Number];
+  const auto Former = m_Members.find(Each.m_Former);
+  if (Former != m_Members.end() && Each.m_Former != Each.m_Dealt &&
+      Former->second.m_Generation < m_Generation)
+    return "";
+  Each.m_Former.clear();
+  return Each.m_Dealt;
+}
+
 HttpAnswer StoreStandIn::groupCall(const HttpRequest &Request) {
   const auto Body = parseJson(Request.m_Body.empty() ? "{}" : Request.m_Body,
                               "call", ErrorKind::BadRequest);
@@ -265,36 +291,34 @@
   dropSilentMembers();
   if (Request.path() == "/v1/log-leave") {
     if (m_Members.erase(Member) > 0)
-      ++m_Generation;
+      dealDuties();
     return jsonAnswer(200, Json::objectValue);
   }
   if (Request.path() == "/v1/log-join") {
     const Milliseconds Stay(Body.value()["ttl_ms"].asInt64());
-    if (m_Members.insert_or_assign(Member, m_Time.now() + Stay).second)
-      ++m_Generation;
+    const bool IsNew = m_Members.count(Member) == 0;
+    m_Members[Member] = {m_Time.now() + Stay,
+                         Body.value()["generation"].asUInt64()};
+    if (IsNew)
+      dealDuties();
   }
   Json::Value Value;
   Value["generation"] = Json::UInt64(m_Generation);
   Value["parts"] = Json::arrayValue;
-  unsigned Turn = 0;
-  for (unsigned Topic = 0; Topic < 4; ++Topic)
-    for (unsigned Part = 0; Part < DutyParts; ++Part) {
-      if (m_Members.empty())
-        break;
-      const std::string &Owner =
-          std::next(m_Members.begin(),
-                    static_cast<std::ptrdiff_t>(Turn++ % m_Members.size()))
-              ->first;
-      Json::Value Row(Json::arrayValue);
-      Row.append("monsoon.duties-" + std::to_string(Topic));
-      Row.append(Part);
-      if (Request.path() == "/v1/log-owners")
-        Row.append(Owner);
-      else if (Owner != Member)
-        continue;
-      Row.append(0);
-      Value["parts"].append(Row);
-    }
+  for (unsigned Number = 0; Number < DutyTopics * DutyParts; ++Number) {
+    const std::string Holder = holderOf(Number);
+    if (Holder.empty())
+      continue;
+    Json::Value Row(Json::arrayValue);
+    Row.append("monsoon.duties-" + std::to_string(Number / DutyParts));
+    Row.append(Number % DutyParts);
+    if (Request.path() == "/v1/log-owners")
+      Row.append(Holder);
+    else if (Holder != Member)
+      continue;
+    Row.append(0);
+    Value["parts"].append(Row);
+  }
   return jsonAnswer(200, Value);
 }
 
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -58,14 +58,28 @@
   HttpAnswer readPage(const Topic &Where, uint64_t From) const;
   HttpAnswer groupCall(const HttpRequest &Request);
   void dropSilentMembers();
+  void dealDuties();
+  /// The member that has a duty, or empty while it is given back.
+  std::string holderOf(unsigned Number);
 
   boost::asio::io_context &m_Loop;
   BootTimeClock m_Time;
   Acceptor m_Acceptor;
   std::map<std::string, Topic> m_Topics;
   std::vector<std::weak_ptr<LongRead>> m_Waiting;
-  /// Members of the group and until when they stay.
-  std::map<std::string, TimePoint> m_Members;
+  struct Member {
+    TimePoint m_Until{};
+    /// The generation with which it joined last.
+    uint64_t m_Generation = 0;
+  };
+  /// The member to which a duty is dealt, and the one that may still count on
+  /// it.
+  struct Duty {
+    std::string m_Dealt;
+    std::string m_Former;
+  };
+  std::map<std::string, Member> m_Members;
+  std::map<unsigned, Duty> m_Duties;
   uint64_t m_Generation = 0;
 };
 
