A request whose connection was never opened has not run

A send that was given up while its connection was being opened counted as one that may have run. Change: the link tells whether it may have sent anything; such a request is refused as not run.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -98,8 +98,12 @@
 void Exchange::abandonSend() {
   if (!m_Link)
     return;
-  // A link that is still connecting has carried nothing.
-  m_MayHaveRun = true;
+  if (m_Link->mayHaveSent()) {
+    m_MayHaveRun = true;
+  } else {
+    --m_Sends;
+    ++m_Unreachable;
+  }
   m_Link->close();
   m_Link = nullptr;
   m_SlowAt = {};
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -72,6 +72,9 @@
   bool isUsable() const;
   bool isConnected() const { return m_State == State::Free && m_Connected; }
   bool isClosed() const { return m_State == State::Closed; }
+  /// False while the connection for the present call is being opened, so that
+  /// the peer can't have got any of it.
+  bool mayHaveSent() const { return m_State != State::Connecting; }
   /// Since when it has carried no request.
   TimePoint idleSince() const { return m_IdleSince; }
   const Endpoint &address() const { return m_Config.m_Address; }
--- a/tests/entry/dispatchertest.cpp
+++ b/tests/entry/dispatchertest.cpp
@@ -288,3 +288,30 @@
   CHECK(Bench.m_Reports[0].m_ConfigVersion == 1);
   CHECK(Bench.m_Reports[0].m_Reason == "answered");
 }
+
+TEST_SUITE("not-run") {
+  TEST_CASE("an order whose connection was still being opened has not run") {
+    EntryBench Bench;
+    Bench.addTarget("t1");
+    // A listener whose queue is full answers no further attempt to connect.
+    boost::asio::ip::tcp::acceptor Full(Bench.m_Loop);
+    Full.open(boost::asio::ip::tcp::v4());
+    Full.bind({boost::asio::ip::make_address_v4("127.0.0.1"), 0});
+    Full.listen(0);
+    std::vector<boost::asio::ip::tcp::socket> Filling;
+    for (int Count = 0; Count < 4; ++Count) {
+      Filling.emplace_back(Bench.m_Loop);
+      Filling.back().async_connect(
+          Full.local_endpoint(),
+          [](const boost::system::error_code & /*Error*/) {});
+    }
+    Bench.runUntil([]() { return false; }, Milliseconds(50));
+    Bench.m_Members["t1"].m_Address = {"127.0.0.1",
+                                       Full.local_endpoint().port()};
+    Bench.m_Registry->setTargets(Bench.m_Members);
+    Bench.publish();
+    Bench.send("POST", "/write/1", "a", Milliseconds(200));
+    CHECK(Bench.await("a").m_Status == 503);
+    CHECK(Bench.await("a").m_Fields.find("Retry-After"));
+  }
+}
