Silent owners are not waited for; hosts' preferences up to twice the time

Change: an owner that has work and has answered nothing for three times as long as it takes gets no more, and what would wait for it is refused at once.

--- a/src/codec/hostreportcodec.cpp
+++ b/src/codec/hostreportcodec.cpp
@@ -145,8 +145,7 @@
     return Parsed.error();
   const Json::Value &Value = Parsed.value();
   if (!Value.isObject() || !Value["h"].isString() || !Value["n"].isUInt64() ||
-      !Value["k"].isObject() || !Value["o"].isArray() ||
-      !Value["e"].isObject())
+      !Value["k"].isObject() || !Value["o"].isArray() || !Value["e"].isObject())
     return Unreadable;
   HostReport Report;
   Report.m_Host = Value["h"].asString();
--- a/src/core/hostreport.h
+++ b/src/core/hostreport.h
@@ -96,8 +96,8 @@
   std::map<std::string, EndedTerm> m_EndedTerms;
 
   auto tie() const {
-    return std::tie(m_Host, m_Sequence, m_Brief, m_InFlight, m_Waiting, m_KeyCounts,
-                    m_Topics, m_News, m_EndedTerms);
+    return std::tie(m_Host, m_Sequence, m_Brief, m_InFlight, m_Waiting,
+                    m_KeyCounts, m_Topics, m_News, m_EndedTerms);
   }
   friend bool operator==(const HostReport &A, const HostReport &B) {
     return A.tie() == B.tie();
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -100,6 +100,14 @@
                         !Waiting->second.isEmpty() && Request->sends() == 0;
   if (!MustWait && place(Request))
     return;
+  const TargetNodePtr Owner =
+      Lane.empty() ? nullptr : m_Parts.m_Targets.find(Lane);
+  // Its keys go to others, but not within the time of this request.
+  if (Owner && !Request->mayHaveRun() &&
+      Owner->load().isSilent(m_Parts.m_Clock.now(), m_Usual)) {
+    refuse(Request, "owner_silent");
+    return;
+  }
   PoolQueue &Queue = m_Lanes[Lane];
   if (!Queue.wouldServeBy(waitLimit(*Request), m_Parts.m_Clock.now(),
                           Request->priority(), outlookOf(Lane))) {
@@ -220,7 +228,8 @@
       !m_Parts.m_Targets.isUsable(*Owner) || !paceAllows(*Owner, Now))
     return nullptr;
   const TargetLoad &Load = Owner->load();
-  if (Load.isSuspended(Now) || (Load.isOnTrial() && Load.inFlight() > 0))
+  if (Load.isSilent(Now, m_Usual) || Load.isSuspended(Now) ||
+      (Load.isOnTrial() && Load.inFlight() > 0))
     return nullptr;
   const bool HasRoom =
       Load.inFlight() + Load.othersInFlight(Now) < Load.slots() + OwnerQueue;
@@ -349,8 +358,8 @@
   const auto Queue = m_Lanes.find(Lane);
   Duration Return = m_Usual;
   if (Queue != m_Lanes.end())
-    Return = Queue->second.expectedWait(
-        m_Parts.m_Clock.now(), Request->priority(), outlookOf(Lane));
+    Return = Queue->second.expectedWait(m_Parts.m_Clock.now(),
+                                        Request->priority(), outlookOf(Lane));
   Return = std::clamp<Duration>(Return, ShortestReturn, LongestReturn);
   // Spread, so that a refused crowd does not return as one.
   const double Spread =
--- a/src/keyowner/rangekeeper.cpp
+++ b/src/keyowner/rangekeeper.cpp
@@ -50,18 +50,18 @@
                          KeeperTimes Times, Parts Ports)
     : m_Host(std::move(Host)), m_Pool(std::move(Pool)),
       m_Topic(std::move(Topic)), m_Times(Times), m_Ports(Ports),
-      m_Follower({m_Topic, ReadWait, Milliseconds(0), Milliseconds(1000),
-                  TellingTime},
-                 Ports.m_Log, Ports.m_Clock,
-                 [this](const KeyedPage &Page, bool Whole) {
-                   // The records of a whole read come by key.
-                   if (Whole) {
-                     m_Folded = 0;
-                     m_Told = false;
-                   }
-                   fold(Page);
-                   return !Page.m_Records.empty();
-                 }) {}
+      m_Follower(
+          {m_Topic, ReadWait, Milliseconds(0), Milliseconds(1000), TellingTime},
+          Ports.m_Log, Ports.m_Clock,
+          [this](const KeyedPage &Page, bool Whole) {
+            // The records of a whole read come by key.
+            if (Whole) {
+              m_Folded = 0;
+              m_Told = false;
+            }
+            fold(Page);
+            return !Page.m_Records.empty();
+          }) {}
 
 void RangeKeeper::log(Severity Level, const char *Name,
                       EventSink::Details Fields) {
@@ -231,10 +231,9 @@
            adopt(Table);
            // A former holder may grant until its lease has run out by its own
            // count, for the longest time.
-           m_FormerHoldsEnd =
-               m_TookOver + m_Ports.m_Leases.longestLease() +
-                        m_Ports.m_Grants.grantTimeout() +
-                        holdBound(m_Times.m_LongestHold);
+           m_FormerHoldsEnd = m_TookOver + m_Ports.m_Leases.longestLease() +
+                              m_Ports.m_Grants.grantTimeout() +
+                              holdBound(m_Times.m_LongestHold);
            for (auto &[Fence, State] : m_Grants)
              State.m_HoldEnd = State.m_HoldEndBefore = m_FormerHoldsEnd;
            log(Severity::Info, "lease_taken",
@@ -247,19 +246,17 @@
   const TimePoint Now = m_Ports.m_Clock.now();
   if (m_Holding || m_OwnTerm == 0 || hasLease(Now))
     return std::nullopt;
-  return EndedTerm{m_OwnTerm,
-                   std::chrono::duration_cast<Milliseconds>(
-                       std::max<Duration>(
-                           std::max(m_FormerHoldsEnd, m_OwnHoldsEnd) - Now,
-                           HoldMargin))};
+  return EndedTerm{
+      m_OwnTerm,
+      std::chrono::duration_cast<Milliseconds>(std::max<Duration>(
+          std::max(m_FormerHoldsEnd, m_OwnHoldsEnd) - Now, HoldMargin))};
 }
 
 void RangeKeeper::noteEndedTerm(const std::string &Host,
                                 const EndedTerm &Ended) {
   if (!m_Holding || !(m_Former == OwnerLease{Host, Ended.m_Term}))
     return;
-  const TimePoint End =
-      m_Ports.m_Clock.now() + Ended.m_HoldsLeft + HoldMargin;
+  const TimePoint End = m_Ports.m_Clock.now() + Ended.m_HoldsLeft + HoldMargin;
   if (End >= m_FormerHoldsEnd)
     return;
   log(Severity::Info, "former_term_ended",
--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -57,9 +57,8 @@
 }
 
 TopicProgress TopicFollower::progress() const {
-  return {
-      m_End, m_Changed,
-      std::chrono::duration_cast<Milliseconds>(m_Clock.now() - m_ReadAt)};
+  return {m_End, m_Changed,
+          std::chrono::duration_cast<Milliseconds>(m_Clock.now() - m_ReadAt)};
 }
 
 void TopicFollower::startOver() { m_StartOver = true; }
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -15,8 +15,8 @@
 /// comes after. Starts over when records were dropped before they were read.
 ///
 /// Of several hosts that tell each other how far they have read, one leads and
-/// reads all the time. The others read when it has seen a change, or when nobody
-/// has told for some time how far the topic goes.
+/// reads all the time. The others read when it has seen a change, or when
+/// nobody has told for some time how far the topic goes.
 class TopicFollower {
 public:
   struct Options {
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -112,21 +112,19 @@
             m_HostId, m_PeerChannel, m_Time,
             [this](bool Brief) { return ownReport(Brief); },
             [this](const HostReport &Report) { noteReport(Report); }),
-        m_Operators(
-            {OperatorTopic, ConfigWait, Milliseconds(0), StandbyAge,
-             Milliseconds(0)},
-            m_Store, m_Time,
-            [this](const KeyedPage &Page, bool Whole) {
-              noteOperators(Page, Whole);
-              return tellChange(!Page.m_Records.empty());
-            }),
-        m_Members(
-            {TargetTopic, Milliseconds(0), MembershipPause, StandbyAge,
-             Milliseconds(0)},
-            m_Store, m_Time,
-            [this](const KeyedPage &Page, bool Whole) {
-              return tellChange(noteMembers(Page, Whole));
-            }),
+        m_Operators({OperatorTopic, ConfigWait, Milliseconds(0), StandbyAge,
+                     Milliseconds(0)},
+                    m_Store, m_Time,
+                    [this](const KeyedPage &Page, bool Whole) {
+                      noteOperators(Page, Whole);
+                      return tellChange(!Page.m_Records.empty());
+                    }),
+        m_Members({TargetTopic, Milliseconds(0), MembershipPause, StandbyAge,
+                   Milliseconds(0)},
+                  m_Store, m_Time,
+                  [this](const KeyedPage &Page, bool Whole) {
+                    return tellChange(noteMembers(Page, Whole));
+                  }),
         m_ReadyHandler([this]() {
           return StatusHandler::Status{isReady() ? 200 : 503, ""};
         }),
--- a/src/policy/poolqueue.cpp
+++ b/src/policy/poolqueue.cpp
@@ -31,8 +31,8 @@
   const double Before =
       static_cast<double>(ahead(Now, Priority, Outlook.m_Service)) +
       Outlook.m_Elsewhere;
-  return std::chrono::duration_cast<Duration>(
-      Outlook.m_Service * (Before + 1) / std::max(Outlook.m_Room, 0.5));
+  return std::chrono::duration_cast<Duration>(Outlook.m_Service * (Before + 1) /
+                                              std::max(Outlook.m_Room, 0.5));
 }
 
 bool PoolQueue::wouldServeBy(TimePoint Moment, TimePoint Now, int Priority,
@@ -43,8 +43,8 @@
       std::chrono::duration<double>(Moment - Now - Outlook.m_Service) /
       std::chrono::duration<double>(Outlook.m_Service) * Outlook.m_Room;
   const double Most =
-      std::max(LeastOwnQueue,
-               UnseenCompetition * InTime / static_cast<double>(Outlook.m_Hosts));
+      std::max(LeastOwnQueue, UnseenCompetition * InTime /
+                                  static_cast<double>(Outlook.m_Hosts));
   return static_cast<double>(ahead(Now, Priority, Outlook.m_Service)) < Most;
 }
 
--- a/src/policy/targetchooser.cpp
+++ b/src/policy/targetchooser.cpp
@@ -11,8 +11,9 @@
 /// the next answer travels.
 constexpr double QueuedAhead = 1;
 /// Hosts that know the same would all choose the same target until they hear of
-/// each other; so each of them counts some targets as slower, up to this part.
-constexpr double LargestReserve = 0.5;
+/// each other; so each of them counts some targets as slower, by up to this
+/// part.
+constexpr double LargestReserve = 1;
 /// Penalty for a target that was tried before.
 constexpr double RepeatFactor = 1000;
 
--- a/src/policy/targetchooser.h
+++ b/src/policy/targetchooser.h
@@ -13,10 +13,10 @@
   bool m_SameDomain = true;
   /// False while a cold target may get no further request.
   bool m_PaceAllows = true;
-  /// From 0 to 1, different for each host and target.
-  double m_Reserve = 0;
   /// True if the request was sent there before.
   bool m_TriedBefore = false;
+  /// From 0 to 1, different for each host and target.
+  double m_Reserve = 0;
 };
 
 /// Chooses the target of a request whose pool has no owners: the one that is
--- a/src/policy/targetload.cpp
+++ b/src/policy/targetload.cpp
@@ -28,6 +28,10 @@
 constexpr double MostExcess = 20;
 /// Factor by which the least report is forgotten with each report.
 constexpr double LeastRise = 1.002;
+/// A target is silent after this many times the expected time, but no sooner
+/// than after as many times the least one, in which a machine may stall.
+constexpr int SilentMultiple = 3;
+constexpr Duration LeastSilence = Milliseconds(200);
 /// Failures in a row without an answer that suspend a target.
 constexpr int FailuresToSuspend = 2;
 
@@ -44,11 +48,23 @@
 
 TargetLoad::TargetLoad(int Slots) : m_Slots(std::max(1, Slots)) {}
 
-void TargetLoad::noteSent(TimePoint /*Now*/) { ++m_InFlight; }
+void TargetLoad::noteSent(TimePoint Now) {
+  if (m_InFlight++ == 0)
+    m_BusySince = Now;
+}
+
+bool TargetLoad::isSilent(TimePoint Now, Duration Usual) const {
+  if (m_InFlight == 0)
+    return false;
+  const Duration Ordinary =
+      std::max<Duration>(expectedTime(Now, Usual), LeastSilence);
+  return Now - m_BusySince > SilentMultiple * Ordinary;
+}
 
 void TargetLoad::noteAnswered(TimePoint Now, Duration Elapsed, Duration Usual,
                               bool Failed) {
   m_InFlight = std::max(0, m_InFlight - 1);
+  m_BusySince = Now;
   m_FailuresInRow = 0;
   m_SuspendedUntil = {};
   noteOutcome(Now, Failed);
@@ -65,6 +81,7 @@
 
 void TargetLoad::noteRefused(TimePoint Now) {
   m_InFlight = std::max(0, m_InFlight - 1);
+  m_BusySince = Now;
   noteOutcome(Now, true);
 }
 
--- a/src/policy/targetload.h
+++ b/src/policy/targetload.h
@@ -39,6 +39,9 @@
   /// True while it is left alone after it failed.
   bool isSuspended(TimePoint Now) const { return Now < m_SuspendedUntil; }
   TimePoint suspendedUntil() const { return m_SuspendedUntil; }
+  /// True when it has work of this host and has answered nothing for several
+  /// times as long as that takes.
+  bool isSilent(TimePoint Now, Duration Usual) const;
   /// True if the next request is the first one after a suspension.
   bool isOnTrial() const { return m_FailuresInRow > 0; }
 
@@ -70,6 +73,8 @@
 
   int m_Slots;
   int m_InFlight = 0;
+  /// Since when it has work and has not answered.
+  TimePoint m_BusySince{};
   int m_FailuresInRow = 0;
   TimePoint m_SuspendedUntil{};
   /// Measured times relative to those that the reports made expect.
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -132,3 +132,19 @@
   Bench.send("GET", "/read/1", "a", Long, 40'000);
   CHECK(Bench.await("a").m_Body == "t2 ran a");
 }
+
+TEST_CASE(
+    "requests for a key whose owner answers nothing are refused at once") {
+  // Replays an owner that hangs: what was sent to it is lost, what comes later
+  // must not wait for its whole objective.
+  KeyedBench Bench;
+  Bench.m_Targets["t1"]->m_Script = [](const std::string & /*Id*/) {
+    return Deed::Hang;
+  };
+  Bench.send("GET", "/read/1", "h", Milliseconds(3000), 5);
+  Bench.runUntil([]() { return false; }, Milliseconds(800));
+  const TimePoint Before = Bench.m_Time.now();
+  Bench.send("GET", "/read/1", "late", Milliseconds(3000), 5);
+  CHECK(Bench.await("late").m_Status == 503);
+  CHECK(Bench.m_Time.now() - Before < Milliseconds(100));
+}
--- a/tests/keyowner/keeperschedules.cpp
+++ b/tests/keyowner/keeperschedules.cpp
@@ -129,9 +129,8 @@
       Unserved.push_back(Key);
   World.run(seconds(1));
   const auto Still =
-      std::count_if(Unserved.begin(), Unserved.end(), [&](uint32_t Key) {
-        return World.holderOf(Key).empty();
-      });
+      std::count_if(Unserved.begin(), Unserved.end(),
+                    [&](uint32_t Key) { return World.holderOf(Key).empty(); });
   if (Still > 0)
     return absl::StrCat(Still,
                         " keys are not served after all faults were mended");
--- a/tests/keyowner/rangekeepertest.cpp
+++ b/tests/keyowner/rangekeepertest.cpp
@@ -175,7 +175,8 @@
     CHECK(firstViolation(World) == "");
   }
 
-  TEST_CASE("a successor of a holder that is lost waits for the longest holds") {
+  TEST_CASE(
+      "a successor of a holder that is lost waits for the longest holds") {
     KeeperWorld World(4, 8, 15);
     World.run(seconds(8));
     World.m_LogDown = true;
@@ -216,7 +217,8 @@
     CHECK(firstViolation(World) == "");
   }
 
-  TEST_CASE("moves that can't end yet don't hold up the keys of other servers") {
+  TEST_CASE(
+      "moves that can't end yet don't hold up the keys of other servers") {
     // The longest holds are given while the log is down, so many ranges wait
     // for those of silent owners; meanwhile another owner leaves.
     KeeperWorld World(3, 90, 13);
--- a/tests/membership/hostmembershiptest.cpp
+++ b/tests/membership/hostmembershiptest.cpp
@@ -77,7 +77,8 @@
   CHECK(Given.m_Host.hosts() == 4);
 }
 
-TEST_CASE("a member that left is counted until it must have stopped by itself") {
+TEST_CASE(
+    "a member that left is counted until it must have stopped by itself") {
   Member Given;
   Given.run(milliseconds(1000));
   Given.m_Group.m_Members = {"a", "b"};
--- a/tests/membership/topicfollowertest.cpp
+++ b/tests/membership/topicfollowertest.cpp
@@ -142,7 +142,8 @@
     CHECK(Given.m_Third.m_Changes == 10);
   }
 
-  TEST_CASE("without word from the leading host the others read, one for both") {
+  TEST_CASE(
+      "without word from the leading host the others read, one for both") {
     ThreeReaders Given;
     Given.run(milliseconds(1000));
     Given.m_Log.put(false);
--- a/tests/policy/targetloadtest.cpp
+++ b/tests/policy/targetloadtest.cpp
@@ -121,3 +121,30 @@
   }
   CHECK(Load.steadySlowness(Start) > 4);
 }
+
+TEST_CASE("a target is silent when it has work and answers nothing") {
+  const TimePoint Start{std::chrono::seconds(100)};
+  const Milliseconds Usual{200};
+  TargetLoad Load(4);
+  CHECK(!Load.isSilent(Start + std::chrono::seconds(9), Usual));
+  Load.noteSent(Start);
+  Load.noteSent(Start);
+  CHECK(!Load.isSilent(Start + Milliseconds(500), Usual));
+  CHECK(Load.isSilent(Start + Milliseconds(700), Usual));
+  Load.noteAnswered(Start + Milliseconds(700), Milliseconds(700), Usual, false);
+  CHECK(!Load.isSilent(Start + Milliseconds(900), Usual));
+}
+
+TEST_CASE("hosts with the same knowledge choose different targets") {
+  // Replays an idle pool and a burst that reaches all hosts between two
+  // reports.
+  const TimePoint Start{std::chrono::seconds(100)};
+  const TargetLoad Idle(4);
+  const TargetChooser Chooser(1.2);
+  std::vector<Candidate> Candidates(2);
+  Candidates[0].m_Load = Candidates[1].m_Load = &Idle;
+  Candidates[0].m_Reserve = 0.9;
+  CHECK(Chooser.choose(Candidates, Start, Milliseconds(200), false) == 1);
+  std::swap(Candidates[0].m_Reserve, Candidates[1].m_Reserve);
+  CHECK(Chooser.choose(Candidates, Start, Milliseconds(200), false) == 0);
+}
--- a/tests/soak/faultproxy.cpp
+++ b/tests/soak/faultproxy.cpp
@@ -55,14 +55,14 @@
   using Chunk = std::array<char, ChunkBytes>;
 
   void pump(Socket &From, Socket &To, Chunk &Bytes, bool IsUp) {
-    From.async_read_some(
-        asio::buffer(Bytes), [Self = shared_from_this(), &From, &To, &Bytes,
-                              IsUp](const error_code &Error, size_t Size) {
-          if (Error)
-            Self->end(To, Error);
-          else
-            Self->pass(From, To, Bytes, Size, IsUp);
-        });
+    From.async_read_some(asio::buffer(Bytes),
+                         [Self = shared_from_this(), &From, &To, &Bytes,
+                          IsUp](const error_code &Error, size_t Size) {
+                           if (Error)
+                             Self->end(To, Error);
+                           else
+                             Self->pass(From, To, Bytes, Size, IsUp);
+                         });
   }
 
   void pass(Socket &From, Socket &To, Chunk &Bytes, size_t Size, bool IsUp) {
--- a/tests/soak/hostprocess.cpp
+++ b/tests/soak/hostprocess.cpp
@@ -27,8 +27,8 @@
 
 /// A port that nothing uses at the moment.
 template <typename Protocol> Endpoint freeAddress(asio::io_context &Loop) {
-  typename Protocol::socket Socket(
-      Loop, {asio::ip::make_address_v4("127.0.0.1"), 0});
+  typename Protocol::socket Socket(Loop,
+                                   {asio::ip::make_address_v4("127.0.0.1"), 0});
   return {"127.0.0.1", Socket.local_endpoint().port()};
 }
 
@@ -39,8 +39,7 @@
                          std::string Folder, const Endpoint &Store)
     : m_Program(std::move(Program)), m_Name(std::move(Name)),
       m_Domain(std::move(Domain)), m_Folder(std::move(Folder)),
-      m_StoreProxy(Loop, Store),
-      m_Callers(freeAddress<asio::ip::tcp>(Loop)),
+      m_StoreProxy(Loop, Store), m_Callers(freeAddress<asio::ip::tcp>(Loop)),
       m_Readiness(freeAddress<asio::ip::tcp>(Loop)),
       m_Metrics(freeAddress<asio::ip::tcp>(Loop)),
       m_Peers(freeAddress<asio::ip::udp>(Loop)) {}
--- a/tests/soak/referee.cpp
+++ b/tests/soak/referee.cpp
@@ -29,7 +29,9 @@
   m_Requests[Id].m_Idempotent = Idempotent;
 }
 
-void Referee::noteArrival(const std::string &Id) { ++m_Requests[Id].m_Arrivals; }
+void Referee::noteArrival(const std::string &Id) {
+  ++m_Requests[Id].m_Arrivals;
+}
 
 void Referee::noteRun(const std::string &Id) {
   const auto Found = m_Requests.find(Id);
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -39,8 +39,8 @@
 void Soak::say(const std::string &What) const {
   if (!m_Settings.m_IsVerbose)
     return;
-  const auto Passed = std::chrono::duration<double>(
-      std::chrono::steady_clock::now() - m_Began);
+  const auto Passed =
+      std::chrono::duration<double>(std::chrono::steady_clock::now() - m_Began);
   std::printf("%8.3f %s\n", Passed.count(), What.c_str());
   std::fflush(stdout);
 }
@@ -89,10 +89,9 @@
   for (const auto &Each : m_Servers)
     if (Thawed(Each->proxy().changedAt()))
       return false;
-  return std::any_of(m_Servers.begin(), m_Servers.end(),
-                     [&](const auto &Each) {
-                       return Each.get() != &Self && Each->holds(Keys);
-                     });
+  return std::any_of(m_Servers.begin(), m_Servers.end(), [&](const auto &Each) {
+    return Each.get() != &Self && Each->holds(Keys);
+  });
 }
 
 HostProcess *Soak::anyHost() {
@@ -111,10 +110,9 @@
 void Soak::later(Milliseconds Delay, std::function<void()> What) {
   const auto Timer = std::make_shared<boost::asio::steady_timer>(m_Loop);
   Timer->expires_after(Delay);
-  Timer->async_wait([Timer, What = std::move(What)](
-                        const boost::system::error_code & /*Error*/) {
-    What();
-  });
+  Timer->async_wait(
+      [Timer, What = std::move(What)](
+          const boost::system::error_code & /*Error*/) { What(); });
 }
 
 void Soak::watchHosts() {
@@ -182,11 +180,10 @@
       break;
     say(absl::StrCat("crash ", Id));
     Server.crash();
-    later(Milliseconds(200 + chance(4000)),
-          [this, &Server, SameId = chance(2) == 0]() {
-            Server.restart(SameId ? Server.id()
-                                  : absl::StrCat("s", m_NextServer++));
-          });
+    later(Milliseconds(200 + chance(4000)), [this, &Server,
+                                             SameId = chance(2) == 0]() {
+      Server.restart(SameId ? Server.id() : absl::StrCat("s", m_NextServer++));
+    });
     break;
   case 1:
     if (!Server.isUp() || Server.isDraining())
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -89,8 +89,8 @@
   ++m_Bad;
   if (Result == LinkResult::Garbled)
     m_Referee.violation(absl::StrCat("the answer to ", Id, " is garbled"));
-  const bool IsPlanned = m_Host->isStopping() &&
-                         m_SentAt - m_Host->disturbedAt() > TroubleShadow;
+  const bool IsPlanned =
+      m_Host->isStopping() && m_SentAt - m_Host->disturbedAt() > TroubleShadow;
   const bool WasSent =
       Result != LinkResult::NotSent && Result != LinkResult::Refused;
   if (WasSent)
--- a/tests/soak/soakserver.cpp
+++ b/tests/soak/soakserver.cpp
@@ -125,19 +125,18 @@
 
 bool SoakServer::holds(const KeyRange &Keys) const {
   const TimePoint Now = m_Time.now();
-  return m_Up && std::any_of(m_Holds.begin(), m_Holds.end(),
-                             [&](const Hold &Each) {
-                               return Now < Each.m_Until &&
-                                      overlaps(Each.m_Keys, Keys);
-                             });
+  return m_Up &&
+         std::any_of(m_Holds.begin(), m_Holds.end(), [&](const Hold &Each) {
+           return Now < Each.m_Until && overlaps(Each.m_Keys, Keys);
+         });
 }
 
 HttpAnswer SoakServer::answerWith(int Status) const {
   HttpAnswer Answer;
   Answer.m_Status = Status;
-  Answer.m_Fields.add("X-Monsoonstand-Server-Load",
-                      absl::StrCat(m_Running.size(), ",", m_Queue.size(), ",",
-                                   Slots, ",100"));
+  Answer.m_Fields.add(
+      "X-Monsoonstand-Server-Load",
+      absl::StrCat(m_Running.size(), ",", m_Queue.size(), ",", Slots, ",100"));
   return Answer;
 }
 
@@ -242,10 +241,9 @@
     if (overlaps(Each.m_Keys, Next.m_Keys) && Each.m_Fence > Next.m_Fence)
       return answerWith(409);
   if (m_Parts.m_HeldElsewhere(*this, Next.m_Keys))
-    m_Parts.m_Referee.violation(
-        absl::StrCat("keys from ", Next.m_Keys.m_First, " were granted to ",
-                     m_Id, " with fence ", Next.m_Fence,
-                     " while another server holds them"));
+    m_Parts.m_Referee.violation(absl::StrCat(
+        "keys from ", Next.m_Keys.m_First, " were granted to ", m_Id,
+        " with fence ", Next.m_Fence, " while another server holds them"));
   m_Seen.push_back(Next);
   m_Holds.push_back(Next);
   const auto IsOver = [Now](const Hold &Each) { return Each.m_Until <= Now; };
@@ -272,9 +270,8 @@
                       Each.m_Fence,
                       Each.m_Until});
     if (Each.m_Keys.m_Last > Keys.m_Last)
-      Kept.push_back({{Keys.m_Last + 1, Each.m_Keys.m_Last},
-                      Each.m_Fence,
-                      Each.m_Until});
+      Kept.push_back(
+          {{Keys.m_Last + 1, Each.m_Keys.m_Last}, Each.m_Fence, Each.m_Until});
   }
   m_Holds = std::move(Kept);
   const bool Busy = std::any_of(
@@ -291,10 +288,10 @@
   const auto Timer =
       std::make_shared<boost::asio::steady_timer>(m_Parts.m_Loop);
   Timer->expires_after(ReleaseLook);
-  Timer->async_wait([this, Timer, Body, Done](
-                        const boost::system::error_code & /*Error*/) {
-    release(Body, Done);
-  });
+  Timer->async_wait(
+      [this, Timer, Body, Done](const boost::system::error_code & /*Error*/) {
+        release(Body, Done);
+      });
 }
 
 HttpAnswer SoakServer::refuse(ErrorKind Kind, const std::string & /*Detail*/) {
