--- a/tests/membership/hostmembershiptest.cpp
+++ b/tests/membership/hostmembershiptest.cpp
@@ -1,5 +1,7 @@
 #include "membership/hostmembership.h"
 
+#include "support/fakeclock.h"
+
 #include <doctest.h>
 
 #include <utility>
@@ -9,12 +11,6 @@
 
 namespace {
 
-class StepClock : public Clock {
-public:
-  TimePoint now() const override { return m_Now; }
-  TimePoint m_Now{std::chrono::seconds(100)};
-};
-
 class FakeGroup : public HostGroup {
 public:
   uint32_t duties() const override { return 4; }
@@ -52,12 +48,12 @@
 
   void run(milliseconds Length) {
     for (milliseconds Passed{0}; Passed < Length; Passed += milliseconds(50)) {
-      m_Time.m_Now += milliseconds(50);
+      m_Time.advance(milliseconds(50));
       m_Host.tick();
     }
   }
 
-  StepClock m_Time;
+  FakeClock m_Time;
   FakeGroup m_Group;
   NoEvents m_Events;
   HostMembership m_Host;
--- a/tests/membership/topicfollowertest.cpp
+++ b/tests/membership/topicfollowertest.cpp
@@ -1,5 +1,7 @@
 #include "membership/topicfollower.h"
 
+#include "support/fakeclock.h"
+
 #include <doctest.h>
 
 #include <utility>
@@ -10,12 +12,6 @@
 
 namespace {
 
-class StepClock : public Clock {
-public:
-  TimePoint now() const override { return m_Now; }
-  TimePoint m_Now{std::chrono::seconds(100)};
-};
-
 /// A topic whose reads are answered at once, or not at all.
 class TopicLog : public SharedLog {
 public:
@@ -87,7 +83,7 @@
   /// Hosts report every 200 ms what they have read.
   void run(milliseconds Length, bool LeadReports = true) {
     for (milliseconds Passed{0}; Passed < Length; Passed += milliseconds(50)) {
-      m_Time.m_Now += milliseconds(50);
+      m_Time.advance(milliseconds(50));
       for (Reader *Each : {&m_Lead, &m_Second, &m_Third})
         if (Each != &m_Lead || LeadReports)
           Each->m_Follower.tick();
@@ -100,7 +96,7 @@
     }
   }
 
-  StepClock m_Time;
+  FakeClock m_Time;
   TopicLog m_Log;
   Reader m_Lead;
   Reader m_Second;
