--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -438,14 +438,16 @@
   for (auto &[Lane, Queue] : m_Lanes) {
     if (Queue.isEmpty())
       continue;
+    // Also those behind a request for which there is no room yet.
+    for (const PoolQueue::Item &Each :
+         Queue.takeIf([&](const QueuedRequest &Waiting) {
+           return Now >= giveUpAt(static_cast<const Exchange &>(Waiting));
+         }))
+      Hopeless.push_back(std::static_pointer_cast<Exchange>(Each));
     Queue.offer(Now, m_Usual, [&](const PoolQueue::Item &Each) {
       const auto Request = std::static_pointer_cast<Exchange>(Each);
       if (Request->isOver())
         return PoolQueue::Verdict::Taken;
-      if (Now >= giveUpAt(*Request)) {
-        Hopeless.push_back(Request);
-        return PoolQueue::Verdict::Taken;
-      }
       if (place(Request))
         return PoolQueue::Verdict::Taken;
       const bool OthersMayFit =
--- a/src/policy/poolqueue.cpp
+++ b/src/policy/poolqueue.cpp
@@ -1,7 +1,6 @@
 #include "policy/poolqueue.h"
 
 #include <algorithm>
-#include <vector>
 
 namespace monsoon {
 
@@ -68,6 +67,20 @@
   return true;
 }
 
+std::vector<PoolQueue::Item>
+PoolQueue::takeIf(const std::function<bool(const QueuedRequest &)> &IsOver) {
+  std::vector<Item> Taken;
+  for (auto It = m_Items.begin(); It != m_Items.end();) {
+    if (!IsOver(**It)) {
+      ++It;
+      continue;
+    }
+    Taken.push_back(std::move(*It));
+    It = m_Items.erase(It);
+  }
+  return Taken;
+}
+
 void PoolQueue::offer(TimePoint Now, Duration Service,
                       const std::function<Verdict(const Item &)> &Take) {
   // Taking one may add or remove others, so the order is fixed beforehand.
--- a/src/policy/poolqueue.h
+++ b/src/policy/poolqueue.h
@@ -7,6 +7,7 @@
 #include <functional>
 #include <list>
 #include <memory>
+#include <vector>
 
 namespace monsoon {
 
@@ -55,6 +56,9 @@
   /// Removes a request; false if it does not wait.
   bool remove(const QueuedRequest *Request);
 
+  /// Removes and returns the requests that are over.
+  std::vector<Item>
+  takeIf(const std::function<bool(const QueuedRequest &)> &IsOver);
   /// Offers the waiting requests in order; each that is taken leaves the
   /// queue. Offering ends when Stop is returned. Service is the time that one
   /// takes.
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -148,3 +148,26 @@
   CHECK(Bench.await("late").m_Status == 503);
   CHECK(Bench.m_Time.now() - Before < Milliseconds(100));
 }
+
+TEST_CASE("a request that waits behind others is given up at its objective") {
+  // Replays a crowded owner: requests that are late already are offered last,
+  // and the first one that finds no room ends the offer.
+  KeyedBench Bench;
+  Bench.publish([](Route::Builder &Builder) {
+    Builder.latencyObjective(Milliseconds(300)).deadline(Milliseconds(2000));
+  });
+  Bench.m_Targets["t1"]->m_Script = [](const std::string & /*Id*/) {
+    return Deed::Hang;
+  };
+  for (int Index = 0; Index < 4; ++Index)
+    Bench.send("POST", "/write/1", "h" + std::to_string(Index),
+               Milliseconds(2000), 5);
+  const TimePoint Before = Bench.m_Time.now();
+  Bench.send("GET", "/read/1", "first", Milliseconds(2000), 5);
+  for (const char *Later : {"second", "third"}) {
+    Bench.runUntil([]() { return false; }, Milliseconds(140));
+    Bench.send("GET", "/read/1", Later, Milliseconds(2000), 5);
+  }
+  CHECK(Bench.await("first").m_Status == 503);
+  CHECK(Bench.m_Time.now() - Before < Milliseconds(380));
+}
--- a/tests/policy/poolqueuetest.cpp
+++ b/tests/policy/poolqueuetest.cpp
@@ -121,3 +121,16 @@
   CHECK(Accepted >= 36);
   CHECK(Accepted <= 4 * 36);
 }
+
+TEST_CASE("requests that are over leave the queue wherever they stand") {
+  PoolQueue Queue;
+  const auto Over = request(2);
+  Over->setObjective(Start);
+  Queue.add(request(1));
+  Queue.add(Over);
+  Queue.add(request(2));
+  const auto Taken = Queue.takeIf(
+      [](const QueuedRequest &Each) { return Start >= Each.objective(); });
+  CHECK(Taken == std::vector<PoolQueue::Item>{Over});
+  CHECK(Queue.size() == 2);
+}
