Followers: what is told within a read counts as changed

A report that was sent while records were being passed on told the new end with the old place of the last change, so its readers took the records for ones that change nothing and passed over them. Besides, each further change prolonged the wait for the first one to be told. Ruled out: reads that hang (other topics went on at the same hosts), lost reports. Change: a change is assumed until the records have been passed on; the wait counts from the first change. Both tests fail without it.

--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -46,10 +46,10 @@
 
 void TopicFollower::notePeer(const TopicProgress &Peer) {
   const TimePoint Now = m_Clock.now();
-  if (Peer.m_Changed > m_Wanted) {
-    m_Wanted = Peer.m_Changed;
+  // Further changes don't prolong the wait for the first one.
+  if (m_Wanted <= m_End && Peer.m_Changed > m_End)
     m_WantedAt = Now;
-  }
+  m_Wanted = std::max<LogOffset>(m_Wanted, Peer.m_Changed);
   if (m_StartOver || m_Wanted > m_End)
     return;
   m_CoveredAt = std::max(m_CoveredAt, Now - Peer.m_Age);
@@ -76,8 +76,11 @@
 void TopicFollower::passOn(const KeyedPage &Page, bool Whole) {
   m_CoveredAt = m_ReadAt = m_Clock.now();
   m_RetryPause = RetryPause;
-  if (m_Records(Page, Whole) || Whole)
-    m_Changed = std::max(m_Changed, m_End);
+  // What is told while the records are passed on must not call them unchanged.
+  const LogOffset Before = std::exchange(m_Changed, std::max(m_Changed, m_End));
+  const LogOffset Assumed = m_Changed;
+  if (!m_Records(Page, Whole) && !Whole && m_Changed == Assumed)
+    m_Changed = Before;
 }
 
 void TopicFollower::readAll() {
--- a/tests/membership/topicfollowertest.cpp
+++ b/tests/membership/topicfollowertest.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest.h>
 
+#include <functional>
 #include <utility>
 #include <vector>
 
@@ -52,11 +53,15 @@
 
 /// A follower on a host of its own.
 struct Reader {
-  Reader(TopicLog &Log, const Clock &Time, size_t Rank)
-      : m_Follower({"topic", milliseconds(0), milliseconds(400),
-                    milliseconds(1000), milliseconds(0)},
+  Reader(TopicLog &Log, const Clock &Time, size_t Rank,
+         milliseconds TellingTime = milliseconds(0))
+      : m_Follower({"topic", milliseconds(0),
+                    milliseconds(TellingTime.count() > 0 ? 0 : 400),
+                    milliseconds(1000), TellingTime},
                    Log, Time, [this](const KeyedPage &Page, bool /*Whole*/) {
                      bool Any = false;
+                     if (m_TellWithin)
+                       m_TellWithin();
                      for (const KeyedRecord &Each : Page.m_Records) {
                        Any = Any || Each.m_Key == "change";
                        m_Changes += Each.m_Key == "change" ? 1 : 0;
@@ -67,6 +72,8 @@
   }
 
   int m_Changes = 0;
+  /// Called while records are passed on.
+  std::function<void()> m_TellWithin;
   TopicFollower m_Follower;
 };
 
@@ -171,6 +178,34 @@
     CHECK(Given.m_Third.m_Changes == 1);
   }
 
+  TEST_CASE("a change that is told of while it is passed on is missed by "
+            "nobody") {
+    ThreeReaders Given;
+    Given.run(milliseconds(1000));
+    Given.m_Lead.m_TellWithin = [&Given]() {
+      Given.m_Second.m_Follower.notePeer(Given.m_Lead.m_Follower.progress());
+    };
+    for (int Round = 0; Round < 5; ++Round) {
+      Given.m_Log.put(false);
+      Given.run(milliseconds(700));
+    }
+    CHECK(Given.m_Second.m_Changes == 5);
+  }
+
+  TEST_CASE("changes that follow each other closely are read all the same") {
+    ThreeReaders Given;
+    Reader Waiting(Given.m_Log, Given.m_Time, 1, milliseconds(100));
+    Waiting.m_Follower.tick();
+    for (int Round = 0; Round < 20; ++Round) {
+      Given.m_Log.put(false);
+      Given.run(milliseconds(50));
+      const LogOffset End = Given.m_Log.m_Records.size();
+      Waiting.m_Follower.notePeer({End, End, milliseconds(0)});
+      Waiting.m_Follower.tick();
+    }
+    CHECK(Waiting.m_Changes >= 10);
+  }
+
   TEST_CASE("starting over reads the whole topic") {
     ThreeReaders Given;
     const int Before = Given.m_Log.m_WholeReads;
