--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -334,6 +334,8 @@
     Target.load().noteAnswered(Now, Outcome.m_Elapsed, m_TypicalServiceTime,
                                Failed);
   }
+  if (Outcome.m_Facts.m_IsLeaving)
+    m_Parts.m_Targets.noteLeaving(Target);
   if (Outcome.m_Facts.m_WarmupLeft)
     Target.setWarmupLeft(Now, *Outcome.m_Facts.m_WarmupLeft);
 }
--- a/src/entry/targetnode.h
+++ b/src/entry/targetnode.h
@@ -39,6 +39,10 @@
   void requireHeartbeat() { m_AwaitsHeartbeat = true; }
   bool awaitsHeartbeat() const { return m_AwaitsHeartbeat; }
 
+  /// Records that an answer of the target states that it is leaving.
+  void setLeaving() { m_IsLeaving = true; }
+  bool isLeaving() const { return m_IsLeaving; }
+
   SlowStartPacer &pace() { return m_Pace; }
   const SlowStartPacer &pace() const { return m_Pace; }
 
@@ -49,6 +53,7 @@
   SlowStartPacer m_Pace;
   TimePoint m_ColdUntil{};
   bool m_AwaitsHeartbeat = false;
+  bool m_IsLeaving = false;
   std::unique_ptr<LinkPool> m_Links;
 };
 
--- a/src/entry/targetregistry.cpp
+++ b/src/entry/targetregistry.cpp
@@ -55,6 +55,16 @@
     m_ByPool[Node->info().m_Pool].push_back(Node);
 }
 
+void TargetRegistry::noteLeaving(TargetNode &Node) {
+  if (Node.isLeaving())
+    return;
+  Node.setLeaving();
+  m_Events.event(Severity::Info, "target_leaving",
+                 {{"target", Node.info().m_Id},
+                  {"pool", Node.info().m_Pool},
+                  {"known_draining", Node.info().m_Draining ? "yes" : "no"}});
+}
+
 void TargetRegistry::setDomainOut(const std::string &Domain, bool Out) {
   const bool WasOut = isDomainOut(Domain);
   if (Out == WasOut)
--- a/src/entry/targetregistry.h
+++ b/src/entry/targetregistry.h
@@ -14,8 +14,8 @@
 
 /// The targets of all pools with the state that this host keeps of each, and
 /// the failure domains that operators have taken out. Follows the membership.
-/// Logs target_joined, target_draining, target_gone, domain_out and
-/// domain_back.
+/// Logs target_joined, target_draining, target_leaving, target_gone, domain_out
+/// and domain_back.
 class TargetRegistry {
 public:
   using LinkPoolFactory =
@@ -26,6 +26,8 @@
 
   /// Replaces all targets. One with a new incarnation starts with fresh state.
   void setTargets(const TargetMap &Targets);
+  /// Notes that an answer of this target states that it is leaving.
+  void noteLeaving(TargetNode &Node);
   /// Takes a failure domain out or back. Targets of a domain that is back are
   /// not used before their next heartbeat.
   void setDomainOut(const std::string &Domain, bool Out);
--- a/src/keyowner/rangeassigner.cpp
+++ b/src/keyowner/rangeassigner.cpp
@@ -64,7 +64,7 @@
       m_Topic(std::move(Topic)), m_Times(Times), m_Ports(Ports),
       m_Follower(
           {m_Topic, ReadWait, Milliseconds(0), Milliseconds(1000), GossipWait},
-          Ports.m_Log, Ports.m_Clock,
+          Ports.m_Log, Ports.m_Clock, Ports.m_Events,
           [this](const KeyedPage &Page, bool Whole) {
             // A read of the whole topic returns the newest record of each key.
             // Their offsets may be below m_AppliedEnd, yet all are applied.
--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -1,5 +1,7 @@
 #include "membership/topicfollower.h"
 
+#include "absl/strings/str_cat.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -19,12 +21,14 @@
 /// More bytes of records than this are not gossiped: they would delay the load
 /// reports on the link of a small host, and peers can read them from the log.
 constexpr size_t MaxPublishedBytes = 8 << 10;
+/// Catching up is logged from this staleness on.
+constexpr Milliseconds LoggedStaleness{2000};
 
 } // namespace
 
 TopicFollower::TopicFollower(Options Config, SharedLog &Log, const Clock &Time,
-                             Callback OnRecords)
-    : m_Config(std::move(Config)), m_Log(Log), m_Clock(Time),
+                             EventSink &Events, Callback OnRecords)
+    : m_Config(std::move(Config)), m_Log(Log), m_Clock(Time), m_Events(Events),
       m_OnRecords(std::move(OnRecords)), m_RetryDelay(MinRetryDelay) {}
 
 void TopicFollower::tick() {
@@ -85,7 +89,21 @@
   m_Changed = std::max(m_Changed, End);
 }
 
+void TopicFollower::logCaughtUp(TimePoint Now) {
+  const Duration Behind = Now - m_UpToDateAt;
+  if (m_UpToDateAt != TimePoint{} && Behind > LoggedStaleness)
+    m_Events.event(
+        Severity::Info, "topic_caught_up",
+        {{"topic", m_Config.m_Topic},
+         {"behind_ms",
+          absl::StrCat(
+              std::chrono::duration_cast<Milliseconds>(Behind).count())},
+         {"failed_reads", absl::StrCat(m_FailedReads)}});
+  m_FailedReads = 0;
+}
+
 void TopicFollower::deliver(const KeyedPage &Page, bool IsFull) {
+  logCaughtUp(m_Clock.now());
   m_UpToDateAt = m_OwnReadAt = m_Clock.now();
   m_RetryDelay = MinRetryDelay;
   // The callback may send progress(). Until it returns, the records count as
@@ -138,7 +156,7 @@
           return;
         m_IsReading = false;
         if (!Page) {
-          scheduleRetry(Page.error().m_Kind);
+          scheduleRetry(Page.error());
           return;
         }
         m_IsDeliveringRestored =
@@ -160,7 +178,7 @@
           return;
         m_IsReading = false;
         if (!Page) {
-          scheduleRetry(Page.error().m_Kind);
+          scheduleRetry(Page.error());
           return;
         }
         // Drops records that were skipped during the read; they are known.
@@ -179,9 +197,14 @@
       });
 }
 
-void TopicFollower::scheduleRetry(ErrorKind Kind) {
-  m_NeedsFullRead = m_NeedsFullRead || Kind == ErrorKind::RecordsExpired;
-  m_NextRead = m_Clock.now() + m_RetryDelay;
+void TopicFollower::scheduleRetry(const Failure &Error) {
+  const TimePoint Now = m_Clock.now();
+  if (++m_FailedReads == 1)
+    m_Events.event(Severity::Warning, "topic_read_failed",
+                   {{"topic", m_Config.m_Topic}, {"detail", Error.m_Message}});
+  m_NeedsFullRead =
+      m_NeedsFullRead || Error.m_Kind == ErrorKind::RecordsExpired;
+  m_NextRead = Now + m_RetryDelay;
   m_RetryDelay = std::min(2 * m_RetryDelay, MaxRetryDelay);
 }
 
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -3,6 +3,7 @@
 
 #include "core/hostreport.h"
 #include "ports/clock.h"
+#include "ports/eventsink.h"
 #include "ports/sharedlog.h"
 
 #include <functional>
@@ -23,6 +24,8 @@
 /// seen a change and the gossip has not delivered it within m_GossipWait, or
 /// when its knowledge of the topic is older than m_StandbyStaleness plus a
 /// delay by rank. Failed reads are repeated after 150 ms, doubled up to 600 ms.
+/// Logs topic_read_failed, once per series of failures, and topic_caught_up
+/// after more than 2 s in which the topic was not known completely.
 class TopicFollower {
 public:
   struct Options {
@@ -44,7 +47,7 @@
   using Callback = std::function<bool(const KeyedPage &Page, bool IsFull)>;
 
   TopicFollower(Options Config, SharedLog &Log, const Clock &Time,
-                Callback OnRecords);
+                EventSink &Events, Callback OnRecords);
 
   TopicFollower(const TopicFollower &) = delete;
   TopicFollower &operator=(const TopicFollower &) = delete;
@@ -100,7 +103,9 @@
 private:
   void readFull();
   void readNext();
-  void scheduleRetry(ErrorKind Kind);
+  void scheduleRetry(const Failure &Error);
+  /// Logs the end of a time in which the topic was not known completely.
+  void logCaughtUp(TimePoint Now);
   bool isReadDue(TimePoint Now) const;
   void deliver(const KeyedPage &Page, bool IsFull);
   /// Moves the records that the callback has published for the page up to m_End
@@ -110,6 +115,7 @@
   Options m_Config;
   SharedLog &m_Log;
   const Clock &m_Clock;
+  EventSink &m_Events;
   Callback m_OnRecords;
   /// Lets callbacks of the log detect that the follower was destroyed.
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
@@ -133,6 +139,8 @@
   TimePoint m_OwnReadAt{};
   TimePoint m_NextRead{};
   Milliseconds m_RetryDelay;
+  /// Own reads that have failed since the last successful one.
+  int m_FailedReads = 0;
   /// True while the records of an own read other than a full one are delivered.
   bool m_IsPublishing = false;
   std::vector<TopicRecord> m_BeingPublished;
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -44,6 +44,8 @@
 constexpr char PeerAddressSeparator = '@';
 /// Interval of the tick that runs all periodic work; resolution of its timing.
 constexpr Milliseconds TickInterval{50};
+/// Lateness of a tick from which on it is logged.
+constexpr Milliseconds LoggedLateness{250};
 /// The same when reports reach most hosts through relays, which adds up to two
 /// report intervals.
 constexpr Milliseconds RelayedStandbyReadDelay{1300};
@@ -155,7 +157,7 @@
             [this](const HostReport &Report) { applyPeerReport(Report); }),
         m_OperatorTopic({OperatorTopic, ConfigReadWait, Milliseconds(0),
                          StandbyReadDelay, RecordGossipWait},
-                        m_Store, m_Time,
+                        m_Store, m_Time, m_Events,
                         [this](const KeyedPage &Page, bool IsComplete) {
                           applyOperatorRecords(Page, IsComplete);
                           return reportChange(m_OperatorTopic,
@@ -163,7 +165,7 @@
                         }),
         m_MembershipTopic({TargetTopic, Milliseconds(0), MembershipReadPause,
                            StandbyReadDelay, RecordGossipWait},
-                          m_Store, m_Time,
+                          m_Store, m_Time, m_Events,
                           [this](const KeyedPage &Page, bool IsComplete) {
                             return reportChange(
                                 m_MembershipTopic,
@@ -264,6 +266,8 @@
     m_Events.event(
         Severity::Info, "config_adopted",
         {{"version", absl::StrCat(Routes.value()->version())},
+         {"read_here", m_OperatorTopic.isPublishing() ? "yes" : "no"},
+         {"bytes", absl::StrCat(Text.size())},
          {"routes", absl::StrCat(Routes.value()->tables().routes().size())}});
     m_Ownership.setRoutes(*Routes.value());
     m_Hosts.setLeases(m_Ownership.pools());
@@ -327,8 +331,22 @@
     });
   }
 
+  /// Logs a tick that comes much later than it was due: everything else that
+  /// this loop does is late as well.
+  void noteTick(TimePoint Now) {
+    const Duration Late = Now - m_LastTick - TickInterval;
+    if (m_LastTick != TimePoint{} && Late > LoggedLateness)
+      m_Events.event(
+          Severity::Warning, "loop_late",
+          {{"late_ms",
+            absl::StrCat(
+                std::chrono::duration_cast<Milliseconds>(Late).count())}});
+    m_LastTick = Now;
+  }
+
   void tick() {
     const TimePoint Now = m_Time.now();
+    noteTick(Now);
     if (m_MembershipTopic.isSynced())
       m_Directory.noteUpToDate(m_MembershipTopic.upToDateAt());
     updateTargets(Now);
@@ -564,6 +582,7 @@
   asio::signal_set m_Signals;
   bool m_IsStopping = false;
   bool m_HasNewPeerLoad = false;
+  TimePoint m_LastTick{};
   TimePoint m_StopStart{};
   TimePoint m_LastStopTick{};
   Duration m_LongestStopTick{};
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -30,6 +30,8 @@
   bool m_NotExecuted = false;
   /// True if another target than the one addressed now has the address.
   bool m_IsMisdirected = false;
+  /// True if the target states that it is leaving and wants no new requests.
+  bool m_IsLeaving = false;
   /// Load of the target, if reported.
   std::optional<LoadReport> m_Load;
   /// Remaining time of the target's warm-up, if reported.
--- a/tests/membership/topicfollowertest.cpp
+++ b/tests/membership/topicfollowertest.cpp
@@ -5,6 +5,8 @@
 #include <doctest.h>
 
 #include <functional>
+#include <map>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -68,6 +70,17 @@
   uint64_t m_Epoch = FirstLogEpoch;
 };
 
+/// Counts events by their names.
+class EventCounts : public EventSink {
+public:
+  void event(Severity /*Level*/, const char *Name,
+             const Details & /*Fields*/) override {
+    ++m_Counts[Name];
+  }
+
+  std::map<std::string, int> m_Counts;
+};
+
 /// The follower of one host.
 struct Reader {
   Reader(TopicLog &Log, const Clock &Time, size_t Rank,
@@ -75,7 +88,8 @@
       : m_Follower({"topic", milliseconds(0),
                     milliseconds(GossipWait.count() > 0 ? 0 : 400),
                     milliseconds(1000), GossipWait},
-                   Log, Time, [this](const KeyedPage &Page, bool /*IsFull*/) {
+                   Log, Time, m_Events,
+                   [this](const KeyedPage &Page, bool /*IsFull*/) {
                      bool Any = false;
                      m_Restorations +=
                          m_Follower.isDeliveringRestored() ? 1 : 0;
@@ -92,6 +106,7 @@
     m_Follower.setReaderRank(Rank);
   }
 
+  EventCounts m_Events;
   int m_Changes = 0;
   /// Number of pages delivered as the first of a new epoch.
   int m_Restorations = 0;
@@ -197,10 +212,12 @@
     Given.m_Log.m_Down = true;
     Given.run(milliseconds(6000));
     CHECK(Given.m_Log.m_Reads <= 3 * (6000 / 600 + 3));
+    CHECK(Given.m_Third.m_Events.m_Counts["topic_read_failed"] == 1);
     Given.m_Log.m_Down = false;
     Given.m_Log.put(false);
     Given.run(milliseconds(1500));
     CHECK(Given.m_Third.m_Changes == 1);
+    CHECK(Given.m_Third.m_Events.m_Counts["topic_caught_up"] == 1);
   }
 
   TEST_CASE("a change whose progress is sent from within the callback is "
