--- a/src/keyowner/rangeassigner.cpp
+++ b/src/keyowner/rangeassigner.cpp
@@ -110,6 +110,7 @@
         }
         if (!Page)
           return;
+        m_ResyncDue = Page.value().m_End < Page.value().m_TopicEnd;
         applyPage(Page.value());
         m_Follower.skipTo(Page.value().m_End);
       });
--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -44,7 +44,7 @@
 bool TopicFollower::isReadDue(TimePoint Now) const {
   if (Now < m_NextRead)
     return false;
-  if (m_NeedsFullRead || m_Rank == 0)
+  if (m_NeedsFullRead || m_IsCatchingUp || m_Rank == 0)
     return true;
   if (m_PeersChanged > m_End)
     return Now - m_PeersChangedAt >= m_Config.m_GossipWait;
@@ -102,9 +102,12 @@
   m_FailedReads = 0;
 }
 
-void TopicFollower::deliver(const KeyedPage &Page, bool IsFull) {
-  logCaughtUp(m_Clock.now());
-  m_UpToDateAt = m_OwnReadAt = m_Clock.now();
+void TopicFollower::deliver(const KeyedPage &Page, bool IsFull,
+                            bool IsComplete) {
+  if (IsComplete) {
+    logCaughtUp(m_Clock.now());
+    m_UpToDateAt = m_OwnReadAt = m_Clock.now();
+  }
   m_RetryDelay = MinRetryDelay;
   // The callback may send progress(). Until it returns, the records count as
   // changes, so that peers do not skip them.
@@ -161,10 +164,11 @@
         }
         m_IsDeliveringRestored =
             m_IsSynced && logEpoch(Page.value().m_End) > logEpoch(m_End);
-        m_NeedsFullRead = false;
+        m_NeedsFullRead = m_IsCatchingUp = false;
         m_IsSynced = true;
         m_End = Page.value().m_End;
-        deliver(Page.value(), true);
+        m_FullReadRecords = Page.value().m_Records.size();
+        deliver(Page.value(), true, true);
         m_IsDeliveringRestored = false;
         tick();
       });
@@ -188,11 +192,17 @@
                                        return Each.m_Offset < m_End;
                                      }),
                       Records.end());
-        m_NextRead = m_Clock.now() + m_Config.m_Pause;
         const LogOffset Next =
             Records.empty() ? m_End : Records.back().m_Offset + 1;
         m_End = std::max(m_End, Next);
-        deliver(Page.value(), false);
+        const LogOffset TopicEnd = Page.value().m_TopicEnd;
+        m_IsCatchingUp = m_End < TopicEnd;
+        if (m_IsCatchingUp &&
+            (Records.empty() || TopicEnd - m_End > m_FullReadRecords))
+          m_NeedsFullRead = true;
+        m_NextRead = m_Clock.now() +
+                     (m_IsCatchingUp ? Milliseconds(0) : m_Config.m_Pause);
+        deliver(Page.value(), false, !m_IsCatchingUp);
         tick();
       });
 }
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -24,6 +24,11 @@
 /// seen a change and the gossip has not delivered it within m_GossipWait, or
 /// when its knowledge of the topic is older than m_StandbyStaleness plus a
 /// delay by rank. Failed reads are repeated after 150 ms, doubled up to 600 ms.
+///
+/// A page may end before the topic does. The host then counts as out of date
+/// and reads on at once: the rest of the records, or the newest record of each
+/// key if these are fewer, so that the time to catch up does not grow with the
+/// time that was missed.
 /// Logs topic_read_failed, once per series of failures, and topic_caught_up
 /// after more than 2 s in which the topic was not known completely.
 class TopicFollower {
@@ -107,7 +112,8 @@
   /// Logs the end of a time in which the topic was not known completely.
   void logCaughtUp(TimePoint Now);
   bool isReadDue(TimePoint Now) const;
-  void deliver(const KeyedPage &Page, bool IsFull);
+  /// IsComplete: the topic is known up to its end with this page.
+  void deliver(const KeyedPage &Page, bool IsFull, bool IsComplete);
   /// Moves the records that the callback has published for the page up to m_End
   /// to m_Published.
   void finishPublishing(LogOffset From);
@@ -121,6 +127,10 @@
   std::shared_ptr<bool> m_Alive = std::make_shared<bool>(true);
   bool m_IsSynced = false;
   bool m_NeedsFullRead = true;
+  /// True after a page that ended before the topic did.
+  bool m_IsCatchingUp = false;
+  /// Number of records in the last full read.
+  size_t m_FullReadRecords = 0;
   bool m_IsReading = false;
   LogOffset m_End = 0;
   /// Offset after the last record that changed something; peers may skip the
--- a/src/ports/sharedlog.h
+++ b/src/ports/sharedlog.h
@@ -44,6 +44,9 @@
 struct KeyedPage {
   LogOffset m_End = 0;
   std::vector<KeyedRecord> m_Records;
+  /// Where the topic ended when the page was read. Beyond m_End if the page
+  /// could not hold all records; 0 if it holds all.
+  LogOffset m_TopicEnd = 0;
 };
 
 /// Asynchronous access to the platform's log of keyed topics. Compaction always
@@ -64,9 +67,9 @@
                       const std::vector<KeyedRecord> &Records,
                       std::optional<LogOffset> At, AppendDone Done) = 0;
 
-  /// Reads the records from an offset on; waits up to Wait while there are
-  /// none. RecordsExpired if some of them are no longer kept or the offset is
-  /// of a former epoch.
+  /// Reads records from an offset on, as many as a page can hold; waits up to
+  /// Wait while there are none. RecordsExpired if some of them are no longer
+  /// kept or the offset is of a former epoch.
   virtual void read(const std::string &Topic, LogOffset From, Milliseconds Wait,
                     ReadDone Done) = 0;
 
--- a/tests/membership/topicfollowertest.cpp
+++ b/tests/membership/topicfollowertest.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest.h>
 
+#include <algorithm>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <string>
@@ -38,13 +40,21 @@
   }
   void readNewest(const std::string &Topic, ReadDone Done) override {
     ++m_FullReads;
+    const size_t MaxPageRecords = std::exchange(m_MaxPageRecords, SIZE_MAX);
     read(Topic, firstOffset(m_Epoch), milliseconds(0), std::move(Done));
+    m_MaxPageRecords = MaxPageRecords;
   }
 
   KeyedPage pageFrom(size_t First) const {
     KeyedPage Page;
     Page.m_End = firstOffset(m_Epoch) + m_Records.size();
-    for (size_t At = First; At < m_Records.size(); ++At) {
+    Page.m_TopicEnd = Page.m_End;
+    const size_t Count = std::min(
+        m_Records.size() - std::min(First, m_Records.size()), m_MaxPageRecords);
+    const size_t End = First + Count;
+    if (Count > 0)
+      Page.m_End = firstOffset(m_Epoch) + End;
+    for (size_t At = First; At < End; ++At) {
       Page.m_Records.push_back(m_Records[At]);
       Page.m_Records.back().m_Offset = firstOffset(m_Epoch) + At;
     }
@@ -64,6 +74,8 @@
   }
 
   std::vector<KeyedRecord> m_Records;
+  /// Most records in the answer of a read that is not a full one.
+  size_t m_MaxPageRecords = SIZE_MAX;
   int m_Reads = 0;
   int m_FullReads = 0;
   bool m_Down = false;
@@ -313,6 +325,47 @@
     CHECK(Given.m_Second.m_Changes == 1);
   }
 
+  TEST_CASE("a host that was cut off knows all changes at its next read, "
+            "however many heartbeats it has missed") {
+    // Guards against requests to targets that left: a page that ended before
+    // the topic did counted as complete, and the next one was read after a
+    // pause.
+    for (const size_t Missed : {size_t{9}, size_t{500}}) {
+      ThreeReaders Given;
+      Given.m_Log.m_MaxPageRecords = 4;
+      Given.run(milliseconds(1000));
+      Given.m_Log.m_Down = true;
+      Given.run(milliseconds(3000));
+      for (size_t Count = 0; Count < Missed; ++Count)
+        Given.m_Log.put(true);
+      Given.m_Log.put(false);
+      Given.m_Log.m_Down = false;
+      Given.m_Log.m_Reads = 0;
+      Given.m_Time.advance(milliseconds(600));
+      Given.m_Third.m_Follower.tick();
+      CHECK(Given.m_Third.m_Changes == 1);
+      CHECK(Given.m_Log.m_Reads <= 4);
+    }
+  }
+
+  TEST_CASE("a page that ends before the topic does not make a host up to "
+            "date") {
+    ThreeReaders Given;
+    Given.run(milliseconds(1000));
+    const TimePoint Before = Given.m_Designated.m_Follower.upToDateAt();
+    Given.m_Log.m_MaxPageRecords = 4;
+    for (int Count = 0; Count < 5; ++Count)
+      Given.m_Log.put(true);
+    TopicFollower &Designated = Given.m_Designated.m_Follower;
+    Given.m_Designated.m_WithinCallback = [&]() {
+      if (Designated.end() < Given.m_Log.m_Records.size())
+        CHECK(Designated.upToDateAt() == Before);
+    };
+    Given.m_Time.advance(milliseconds(500));
+    Designated.tick();
+    CHECK(Designated.upToDateAt() == Given.m_Time.now());
+  }
+
   TEST_CASE("requestFullRead causes one full read of the topic") {
     ThreeReaders Given;
     const int Before = Given.m_Log.m_FullReads;
--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -68,6 +68,21 @@
   CHECK(!Page.value().m_Records[2].m_Value.has_value());
 }
 
+TEST_CASE("a page that can't hold all records says where the topic ends") {
+  StoreFixture Fixture;
+  const std::string Large(200 << 10, 'x');
+  for (int Count = 0; Count < 3; ++Count)
+    REQUIRE(Fixture.append({{"a", Large}}, std::nullopt).has_value());
+  const auto First = Fixture.read(0, Milliseconds(0));
+  REQUIRE(First.has_value());
+  CHECK(First.value().m_End < 3);
+  CHECK(First.value().m_TopicEnd == 3);
+  const auto Last = Fixture.read(2, Milliseconds(0));
+  REQUIRE(Last.has_value());
+  CHECK(Last.value().m_End == 3);
+  CHECK(Last.value().m_TopicEnd == 3);
+}
+
 TEST_CASE("a conditional append at an outdated offset fails") {
   StoreFixture Fixture;
   CHECK(Fixture.append({{"a", "1"}}, 0).value() == 1);
--- a/tests/platform/storestandin.cpp
+++ b/tests/platform/storestandin.cpp
@@ -16,6 +16,7 @@
 
 constexpr size_t OffsetBytes = 8;
 constexpr size_t LengthBytes = 4;
+constexpr uint64_t DefaultPageKilobytes = 1024;
 constexpr unsigned DutyTopics = 16;
 constexpr unsigned PartitionsPerTopic = 12;
 
@@ -75,9 +76,11 @@
 /// A long-polling read that waits for a record or its time limit.
 class StoreStandIn::PendingRead : public PendingRequest {
 public:
-  PendingRead(StoreStandIn &Store, std::string Topic, uint64_t From, Reply Done)
+  PendingRead(StoreStandIn &Store, std::string Topic, uint64_t From,
+              uint64_t MaxKilobytes, Reply Done)
       : m_Store(Store), m_Topic(std::move(Topic)), m_From(From),
-        m_Done(std::move(Done)), m_Timer(Store.m_Loop) {}
+        m_MaxKilobytes(MaxKilobytes), m_Done(std::move(Done)),
+        m_Timer(Store.m_Loop) {}
 
   void cancel() override { m_Done = nullptr; }
   bool mayOverlap() const override { return true; }
@@ -86,14 +89,15 @@
     if (!m_Done)
       return;
     std::exchange(m_Done, nullptr)(
-        m_Store.m_IsUnavailable
-            ? plainAnswer(503)
-            : m_Store.readPage(m_Store.m_Topics[m_Topic], m_From));
+        m_Store.m_IsUnavailable ? plainAnswer(503)
+                                : m_Store.readPage(m_Store.m_Topics[m_Topic],
+                                                   m_From, m_MaxKilobytes));
   }
 
   StoreStandIn &m_Store;
   const std::string m_Topic;
   const uint64_t m_From;
+  const uint64_t m_MaxKilobytes;
   Reply m_Done;
   boost::asio::steady_timer m_Timer;
 };
@@ -206,13 +210,16 @@
     const std::string Name = Query.at("topic");
     const uint64_t From = queryNumber(Query, "from");
     const uint64_t Wait = queryNumber(Query, "wait_ms");
+    const uint64_t MaxKilobytes = Query.count("max_kb") > 0
+                                      ? queryNumber(Query, "max_kb")
+                                      : DefaultPageKilobytes;
     if (Wait == 0 || m_Topics[Name].m_Records.size() > From ||
         m_Topics[Name].m_First > From) {
-      Done(readPage(m_Topics[Name], From));
+      Done(readPage(m_Topics[Name], From, MaxKilobytes));
       return nullptr;
     }
-    const auto Read =
-        std::make_shared<PendingRead>(*this, Name, From, std::move(Done));
+    const auto Read = std::make_shared<PendingRead>(
+        *this, Name, From, MaxKilobytes, std::move(Done));
     Read->m_Timer.expires_after(Milliseconds(Wait));
     Read->m_Timer.async_wait(
         [Read](const boost::system::error_code & /*Error*/) {
@@ -259,7 +266,8 @@
   return jsonAnswer(200, Value);
 }
 
-HttpResponse StoreStandIn::readPage(const Topic &Log, uint64_t From) const {
+HttpResponse StoreStandIn::readPage(const Topic &Log, uint64_t From,
+                                    uint64_t MaxKilobytes) const {
   if (From < Log.m_First || From > Log.m_Records.size()) {
     Json::Value Value;
     Value["first"] = Json::UInt64(Log.m_First);
@@ -270,10 +278,14 @@
                   encodeBigEndian(Log.m_First, OffsetBytes);
   for (uint64_t Index = From; Index < Log.m_Records.size(); ++Index) {
     const Record &Each = Log.m_Records[Index];
-    Answer.m_Body +=
+    const std::string Encoded =
         encodeBigEndian(1 + Each.m_Key.size() + Each.m_Value.size(),
                         LengthBytes) +
         static_cast<char>(Each.m_Key.size()) + Each.m_Key + Each.m_Value;
+    if (Index > From && Answer.m_Body.size() + Encoded.size() > MaxKilobytes
+                                                                    << 10)
+      break;
+    Answer.m_Body += Encoded;
   }
   return Answer;
 }
--- a/tests/platform/storestandin.h
+++ b/tests/platform/storestandin.h
@@ -78,7 +78,9 @@
   void startEpoch();
   HttpResponse appendCall(const HttpRequest &Request);
   HttpResponse newestCall(const HttpRequest &Request);
-  HttpResponse readPage(const Topic &Log, uint64_t From) const;
+  /// Records up to MaxKilobytes in all, but at least one if there is any.
+  HttpResponse readPage(const Topic &Log, uint64_t From,
+                        uint64_t MaxKilobytes) const;
   HttpResponse groupCall(const HttpRequest &Request);
   void removeExpiredMembers();
   void assignDuties();
