--- a/src/codec/hostreportcodec.cpp
+++ b/src/codec/hostreportcodec.cpp
@@ -193,6 +193,8 @@
     Row.append(Json::UInt64(Former.m_Epoch));
     Row.append(Json::UInt64(Former.m_NextFence));
   }
+  for (const auto &[Id, Incarnation] : Report.m_LeavingTargets)
+    Value["l"][Id] = Json::Int64(Incarnation);
   if (!Report.m_RelayedTopics.empty())
     Value["u"] = encodeTopics(Report.m_RelayedTopics);
 }
@@ -211,6 +213,18 @@
   return true;
 }
 
+bool decodeLeavingTargets(const Json::Value &Value,
+                          std::map<std::string, int64_t> &Targets) {
+  if (!Value.isObject())
+    return false;
+  for (const std::string &Id : Value.getMemberNames()) {
+    if (!Value[Id].isInt64())
+      return false;
+    Targets[Id] = Value[Id].asInt64();
+  }
+  return true;
+}
+
 bool decodeOptionalFields(const Json::Value &Value, HostReport &Report) {
   if (Value.isMember("r")) {
     if (!Value["r"].isArray())
@@ -240,6 +254,9 @@
   if (Value.isMember("z") &&
       !decodeFormerOwners(Value["z"], Report.m_FormerOwners))
     return false;
+  if (Value.isMember("l") &&
+      !decodeLeavingTargets(Value["l"], Report.m_LeavingTargets))
+    return false;
   return !Value.isMember("u") ||
          decodeTopics(Value["u"], Report.m_RelayedTopics);
 }
--- a/src/core/hostreport.h
+++ b/src/core/hostreport.h
@@ -172,6 +172,8 @@
   std::map<std::string, FormerOwners> m_FormerOwners;
   /// Records read since the last report that changed something.
   std::vector<TopicRecords> m_TopicRecords;
+  /// Targets whose answers say that they are leaving, with their incarnations.
+  std::map<std::string, int64_t> m_LeavingTargets;
   /// The members of the group, if this host has just read them.
   std::optional<MemberList> m_Members;
   /// Number of hosts that the load figures are the sum of. More than 1 in the
@@ -186,7 +188,7 @@
     return std::tie(m_Host, m_Sequence, m_OmitsLoad, m_InFlight, m_Waiting,
                     m_KeyCounts, m_Topics, m_OwnerUpdates, m_EndedTerms,
                     m_FormerOwners, m_TopicRecords, m_Members, m_SummedHosts,
-                    m_OtherDomains, m_RelayedTopics);
+                    m_OtherDomains, m_RelayedTopics, m_LeavingTargets);
   }
   friend bool operator==(const HostReport &A, const HostReport &B) {
     return A.tie() == B.tie();
--- a/src/entry/ownershipmanager.cpp
+++ b/src/entry/ownershipmanager.cpp
@@ -61,8 +61,10 @@
     if (Info.m_Pool != Ownership.pool())
       continue;
     Known.emplace(Id, Info);
-    const bool MayOwn =
-        !Info.m_Draining && !m_Targets.isDomainOut(Info.m_FailureDomain);
+    const TargetNodePtr Node = m_Targets.find(Id);
+    const bool IsLeaving = Node && Node->leavingSince();
+    const bool MayOwn = !Info.m_Draining && !IsLeaving &&
+                        !m_Targets.isDomainOut(Info.m_FailureDomain);
     if (MayOwn)
       Usable.emplace(Id, capacityOf(Info));
   }
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -117,6 +117,13 @@
     refuse(Request, "owner_silent");
     return;
   }
+  const bool IsRefused =
+      Owner ? Owner->leavingSince() && !m_Parts.m_Targets.isUsableOwner(*Owner)
+            : !m_Ownership && !m_Parts.m_Targets.expectsUsable(m_Name);
+  if (IsRefused) {
+    failRequest(Request, ErrorKind::AnswerLost, "targets_leaving");
+    return;
+  }
   PoolQueue &Queue = m_OwnerQueues[OwnerId];
   if (!Queue.wouldServeBy(admissionLimit(*Request), m_Parts.m_Clock.now(),
                           Request->priority(), queueOutlook(OwnerId))) {
@@ -258,7 +265,7 @@
   const TargetNodePtr Owner = m_Parts.m_Targets.find(Range->m_Owner);
   const TimePoint Now = m_Parts.m_Clock.now();
   if (!Owner || Owner->info().m_Incarnation != Range->m_Incarnation ||
-      !m_Parts.m_Targets.isUsable(*Owner) || !paceAllows(*Owner, Now))
+      !m_Parts.m_Targets.isUsableOwner(*Owner) || !paceAllows(*Owner, Now))
     return nullptr;
   const TargetLoad &Load = Owner->load();
   if (Load.isUnresponsive(Now, m_TypicalServiceTime) || Load.isEjected(Now) ||
@@ -334,8 +341,7 @@
     Target.load().noteAnswered(Now, Outcome.m_Elapsed, m_TypicalServiceTime,
                                Failed);
   }
-  if (Outcome.m_Facts.m_IsLeaving)
-    m_Parts.m_Targets.noteLeaving(Target);
+  m_Parts.m_Targets.noteAnswer(Target.info(), Outcome.m_Facts);
   if (Outcome.m_Facts.m_WarmupLeft)
     Target.setWarmupLeft(Now, *Outcome.m_Facts.m_WarmupLeft);
 }
--- a/src/entry/targetnode.h
+++ b/src/entry/targetnode.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 
 namespace monsoon {
 
@@ -39,9 +40,14 @@
   void requireHeartbeat() { m_AwaitsHeartbeat = true; }
   bool awaitsHeartbeat() const { return m_AwaitsHeartbeat; }
 
-  /// Records that an answer of the target states that it is leaving.
-  void setLeaving() { m_IsLeaving = true; }
-  bool isLeaving() const { return m_IsLeaving; }
+  /// When this host learnt that the target states that it is leaving; unset
+  /// while it does not.
+  void setLeavingSince(std::optional<TimePoint> Value) {
+    m_LeavingSince = Value;
+  }
+  const std::optional<TimePoint> &leavingSince() const {
+    return m_LeavingSince;
+  }
 
   SlowStartPacer &pace() { return m_Pace; }
   const SlowStartPacer &pace() const { return m_Pace; }
@@ -53,7 +59,7 @@
   SlowStartPacer m_Pace;
   TimePoint m_ColdUntil{};
   bool m_AwaitsHeartbeat = false;
-  bool m_IsLeaving = false;
+  std::optional<TimePoint> m_LeavingSince;
   std::unique_ptr<LinkPool> m_Links;
 };
 
--- a/src/entry/targetregistry.cpp
+++ b/src/entry/targetregistry.cpp
@@ -14,6 +14,9 @@
 constexpr double MinCoverage = 0.5;
 /// Live targets send at least two heartbeats in this time.
 constexpr Milliseconds HeartbeatsExpected{2500};
+/// Enough to move the keys of a leaving owner, and half of the time for which
+/// targets serve after they have said that they leave.
+constexpr Milliseconds LeavingOwnerTime{1500};
 
 } // namespace
 
@@ -45,24 +48,55 @@
     }
     Node =
         std::make_shared<TargetNode>(Info, Now, m_MakeLinkPool(Info.m_Address));
+    Node->setLeavingSince(m_Notices.leavingSince(Id, Info.m_Incarnation));
     m_Events.event(Severity::Info, "target_joined",
                    {{"target", Id},
                     {"pool", Info.m_Pool},
                     {"warmup_ms", absl::StrCat(Info.m_WarmupLeft.count())}});
   }
+  m_Notices.forgetUnknown(
+      Now, [this](const std::string &Id) { return m_Nodes.count(Id) > 0; });
   m_ByPool.clear();
   for (const auto &[Id, Node] : m_Nodes)
     m_ByPool[Node->info().m_Pool].push_back(Node);
 }
 
-void TargetRegistry::noteLeaving(TargetNode &Node) {
-  if (Node.isLeaving())
+void TargetRegistry::noteAnswer(const TargetInfo &From,
+                                const AnswerMetadata &Facts) {
+  // Another target may have sent it.
+  if (Facts.m_IsMisdirected)
     return;
-  Node.setLeaving();
-  m_Events.event(Severity::Info, "target_leaving",
-                 {{"target", Node.info().m_Id},
-                  {"pool", Node.info().m_Pool},
-                  {"known_draining", Node.info().m_Draining ? "yes" : "no"}});
+  if (Facts.m_IsLeaving)
+    noteLeaving(From.m_Id, From.m_Incarnation, "");
+}
+
+void TargetRegistry::noteLeaving(const std::string &Id, int64_t Incarnation,
+                                 const std::string &Peer) {
+  const TimePoint Now = m_Clock.now();
+  if (!m_Notices.noteLeaving(Now, Id, Incarnation, !Peer.empty()))
+    return;
+  const TargetNodePtr Node = find(Id);
+  if (Node && Node->info().m_Incarnation == Incarnation)
+    Node->setLeavingSince(Now);
+  m_Events.event(
+      Severity::Info, "target_leaving",
+      {{"target", Id},
+       {"pool", Node ? Node->info().m_Pool : ""},
+       {"incarnation", absl::StrCat(Incarnation)},
+       {"source", Peer.empty() ? "answer" : Peer},
+       {"draining", Node && Node->info().m_Draining ? "yes" : "no"}});
+  if (m_OnLeaving)
+    m_OnLeaving();
+}
+
+std::map<std::string, int64_t> TargetRegistry::leavingToReport() const {
+  std::map<std::string, int64_t> Result =
+      m_Notices.leavingToReport(m_Clock.now());
+  for (auto It = Result.begin(); It != Result.end();) {
+    const TargetNodePtr Node = find(It->first);
+    It = Node && Node->info().m_Draining ? Result.erase(It) : std::next(It);
+  }
+  return Result;
 }
 
 void TargetRegistry::setDomainOut(const std::string &Domain, bool Out) {
@@ -137,6 +171,23 @@
 }
 
 bool TargetRegistry::isUsable(const TargetNode &Node) const {
+  return isInService(Node) && !Node.leavingSince();
+}
+
+bool TargetRegistry::isUsableOwner(const TargetNode &Node) const {
+  return isInService(Node) &&
+         (!Node.leavingSince() ||
+          m_Clock.now() - *Node.leavingSince() < LeavingOwnerTime);
+}
+
+bool TargetRegistry::expectsUsable(const std::string &Pool) const {
+  const auto &Nodes = findByPool(Pool);
+  return std::any_of(Nodes.begin(), Nodes.end(), [this](const auto &Each) {
+    return isUsable(*Each) || Each->awaitsHeartbeat();
+  });
+}
+
+bool TargetRegistry::isInService(const TargetNode &Node) const {
   return !Node.info().m_Draining && !Node.awaitsHeartbeat() &&
          !isDomainOut(Node.info().m_FailureDomain);
 }
--- a/src/entry/targetregistry.h
+++ b/src/entry/targetregistry.h
@@ -2,12 +2,15 @@
 #define MONSOON_ENTRY_TARGETREGISTRY_H
 
 #include "entry/targetnode.h"
+#include "policy/targetnotices.h"
+#include "ports/dialect.h"
 #include "ports/eventsink.h"
 
 #include <functional>
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace monsoon {
@@ -26,8 +29,19 @@
 
   /// Replaces all targets. One with a new incarnation starts with fresh state.
   void setTargets(const TargetMap &Targets);
-  /// Notes that an answer of this target states that it is leaving.
-  void noteLeaving(TargetNode &Node);
+  /// Sets the callback that is called when a target turns out to be leaving.
+  void onLeaving(std::function<void()> Callback) {
+    m_OnLeaving = std::move(Callback);
+  }
+  /// Applies what an answer to this host says of the target's own state.
+  void noteAnswer(const TargetInfo &From, const AnswerMetadata &Facts);
+  /// Notes that the target has stated in an answer that it is leaving; Peer is
+  /// the host that reports it, or empty if this host got the answer.
+  void noteLeaving(const std::string &Id, int64_t Incarnation,
+                   const std::string &Peer);
+  /// Targets that told this host so lately, with their incarnations; without
+  /// those whose entry in the membership says it as well.
+  std::map<std::string, int64_t> leavingToReport() const;
   /// Takes a failure domain out or back. Targets of a domain that is back are
   /// not used before their next heartbeat.
   void setDomainOut(const std::string &Domain, bool Out);
@@ -52,20 +66,31 @@
   /// and some of its targets are out of use until then. A target that is silent
   /// for longer may be gone.
   bool expectsHeartbeats() const;
-  /// True if the target may get new requests: it is not draining, its failure
-  /// domain is not out, and no heartbeat is awaited.
+  /// True if the target may get new requests: it is not draining or leaving,
+  /// its failure domain is not out, and no heartbeat is awaited.
   bool isUsable(const TargetNode &Node) const;
+  /// The same for the owner of a key, whom no other target can replace. One
+  /// that has said in an answer that it is leaving goes on getting requests
+  /// until its keys have been moved, but no longer than 1.5 s.
+  bool isUsableOwner(const TargetNode &Node) const;
+  /// True if a target of the pool is usable or will be at its next heartbeat.
+  bool expectsUsable(const std::string &Pool) const;
   bool isDomainOut(const std::string &Domain) const {
     return m_DomainsOut.count(Domain) > 0;
   }
 
 private:
+  /// As isUsable(), whatever the target's answers say.
+  bool isInService(const TargetNode &Node) const;
+
   const Clock &m_Clock;
   LinkPoolFactory m_MakeLinkPool;
   EventSink &m_Events;
   std::map<std::string, TargetNodePtr> m_Nodes;
   std::map<std::string, std::vector<TargetNodePtr>> m_ByPool;
   std::set<std::string> m_DomainsOut;
+  TargetNotices m_Notices;
+  std::function<void()> m_OnLeaving;
   /// When a failure domain last came back.
   TimePoint m_DomainBackAt{};
 };
--- a/src/membership/loadgossip.cpp
+++ b/src/membership/loadgossip.cpp
@@ -36,7 +36,7 @@
 bool hasNews(const HostReport &Report) {
   return !Report.m_OwnerUpdates.empty() || !Report.m_TopicRecords.empty() ||
          !Report.m_EndedTerms.empty() || !Report.m_FormerOwners.empty() ||
-         Report.m_Members;
+         !Report.m_LeavingTargets.empty() || Report.m_Members;
 }
 
 /// A copy without the load figures.
@@ -128,6 +128,7 @@
               std::back_inserter(Report.m_OwnerUpdates));
     std::move(News.m_TopicRecords.begin(), News.m_TopicRecords.end(),
               std::back_inserter(Report.m_TopicRecords));
+    Report.m_LeavingTargets.merge(News.m_LeavingTargets);
     if (!Report.m_Members)
       Report.m_Members = std::move(News.m_Members);
   }
@@ -190,7 +191,7 @@
 
 void LoadGossip::relay(const HostReport &Report) {
   if (Report.m_OwnerUpdates.empty() && Report.m_TopicRecords.empty() &&
-      !Report.m_Members)
+      Report.m_LeavingTargets.empty() && !Report.m_Members)
     return;
   m_HasRelayed = true;
   m_Relayed.m_OwnerUpdates.insert(m_Relayed.m_OwnerUpdates.end(),
@@ -199,6 +200,8 @@
   m_Relayed.m_TopicRecords.insert(m_Relayed.m_TopicRecords.end(),
                                   Report.m_TopicRecords.begin(),
                                   Report.m_TopicRecords.end());
+  m_Relayed.m_LeavingTargets.insert(Report.m_LeavingTargets.begin(),
+                                    Report.m_LeavingTargets.end());
   if (Report.m_Members)
     m_Relayed.m_Members = Report.m_Members;
 }
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -189,6 +189,14 @@
       m_OperatorTopic.requestFullRead();
       m_MembershipTopic.requestFullRead();
     });
+    m_Grants.onAnswer(
+        [this](const TargetInfo &From, const HttpResponse &Answer) {
+          m_Targets.noteAnswer(From, m_Dialect.readAnswer(Answer));
+        });
+    m_Targets.onLeaving([this]() {
+      m_Ownership.refreshTargets(m_Directory.targets());
+      m_LoadGossip.requestBriefReport();
+    });
     m_Ownership.onChange([this]() {
       m_Dispatcher.dispatchWaiting();
       if (!m_Ownership.hasUnreportedChanges())
@@ -452,6 +460,7 @@
     }
     m_Ownership.addOwnerChanges(Report);
     Report.m_Members = m_Hosts.takeMembers();
+    Report.m_LeavingTargets = m_Targets.leavingToReport();
     for (TopicFollower *Each : {&m_OperatorTopic, &m_MembershipTopic})
       for (TopicRecords &Records : Each->takePublished())
         Report.m_TopicRecords.push_back(std::move(Records));
@@ -471,6 +480,8 @@
     m_Ownership.applyReport(Report);
     if (Report.m_Members)
       m_Hosts.applyPeerMembers(*Report.m_Members);
+    for (const auto &[Id, Incarnation] : Report.m_LeavingTargets)
+      m_Targets.noteLeaving(Id, Incarnation, Report.m_Host);
     // Before the progress, by which the changes would count as missing.
     for (const TopicRecords &Each : Report.m_TopicRecords) {
       if (Each.m_Topic == OperatorTopic)
--- a/tests/entry/dispatchertest.cpp
+++ b/tests/entry/dispatchertest.cpp
@@ -229,6 +229,90 @@
       CHECK(Bench.await("a" + std::to_string(Index)).m_Status == 200);
     CHECK(Bench.m_Targets["t1"]->arrivals() == 0);
   }
+
+  TEST_CASE("a target whose answer says that it leaves gets no further "
+            "request") {
+    // Guards against requests reaching a target that said so in its answers
+    // while the log does not say it.
+    EntryBench Bench;
+    ScriptedTarget &Leaving = Bench.addTarget("t1");
+    Bench.publish();
+    Leaving.m_IsLeaving = true;
+    for (const Action Next : {Action::Answer, Action::Fail, Action::Refuse}) {
+      Bench.restartTarget("t1");
+      Bench.m_Members.erase("t2");
+      Bench.m_Registry->setTargets(Bench.m_Members);
+      Leaving.m_Script = always(Next);
+      const std::string Id = std::to_string(static_cast<int>(Next));
+      Bench.send("POST", "/write/1", "first" + Id, AmpleTime);
+      Bench.await("first" + Id);
+      const int Before = Leaving.arrivals();
+      Bench.addTarget("t2");
+      for (int Index = 0; Index < 6; ++Index) {
+        const std::string Later = "later" + Id + std::to_string(Index);
+        Bench.send("GET", "/read/1", Later, AmpleTime);
+        CHECK(Bench.await(Later).m_Body == "t2 ran " + Later);
+      }
+      CHECK(Leaving.arrivals() == Before);
+    }
+  }
+
+  TEST_CASE("a queued request is not sent to a target that has said that it "
+            "leaves") {
+    EntryBench Bench;
+    ScriptedTarget &Leaving = Bench.addTarget("t1");
+    Leaving.m_Script = always(Action::Hang);
+    Bench.publish(
+        [](Route::Builder &Each) { Each.deadline(Milliseconds(3000)); });
+    int Sent = 0;
+    const auto Send = [&]() {
+      Bench.send("POST", "/write/1", "a" + std::to_string(Sent++),
+                 Milliseconds(3000));
+    };
+    while (Sent < 20 && Leaving.arrivals() == Sent) {
+      Send();
+      Bench.runUntil([]() { return false; }, Milliseconds(30));
+    }
+    const int Running = Leaving.arrivals();
+    REQUIRE(Running < Sent);
+    Leaving.m_IsLeaving = true;
+    Leaving.m_Script = always(Action::Answer);
+    Leaving.answerHung();
+    Bench.addTarget("t2");
+    Bench.await("a" + std::to_string(Sent - 1));
+    CHECK(Leaving.arrivals() == Running);
+  }
+
+  TEST_CASE("a new incarnation of a target that left is used again") {
+    EntryBench Bench;
+    ScriptedTarget &Target = Bench.addTarget("t1");
+    Target.m_IsLeaving = true;
+    Bench.publish();
+    Bench.send("GET", "/read/1", "a", AmpleTime);
+    CHECK(Bench.await("a").m_Status == 200);
+    Target.m_IsLeaving = false;
+    ++Bench.m_Members.at("t1").m_Sequence;
+    Bench.m_Registry->setTargets(Bench.m_Members);
+    Bench.send("GET", "/read/1", "b", AmpleTime);
+    CHECK(Bench.await("b").m_Status == 503);
+    Bench.restartTarget("t1");
+    Bench.send("GET", "/read/1", "c", AmpleTime);
+    CHECK(Bench.await("c").m_Status == 200);
+  }
+
+  TEST_CASE("a request is refused at once when all targets are leaving") {
+    EntryBench Bench;
+    Bench.addTarget("t1").m_IsLeaving = true;
+    Bench.publish();
+    Bench.send("GET", "/read/1", "a", AmpleTime);
+    CHECK(Bench.await("a").m_Status == 200);
+    const TimePoint Before = Bench.m_Time.now();
+    Bench.send("GET", "/read/1", "b", AmpleTime);
+    CHECK(Bench.await("b").m_Status == 503);
+    CHECK(Bench.await("b").m_Fields.find("Retry-After"));
+    CHECK(Bench.m_Time.now() - Before < Milliseconds(100));
+    CHECK(Bench.m_Targets["t1"]->arrivals() == 1);
+  }
 }
 
 TEST_SUITE("domain-out") {
--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -50,6 +50,7 @@
     Facts.m_RequestId = *Id;
   Facts.m_IsSigned = Answer.m_Fields.find("Sign") != nullptr;
   Facts.m_IsMisdirected = Answer.m_Status == 421;
+  Facts.m_IsLeaving = Answer.m_Fields.find("Leaving") != nullptr;
   Facts.m_NotExecuted =
       Facts.m_IsMisdirected || Answer.m_Fields.find("Not-Run") != nullptr;
   return Facts;
@@ -86,7 +87,9 @@
   const Action Next = m_Script(Id);
   const auto Answer = [&](const std::string &Status, const std::string &More,
                           const std::string &Body) {
-    const std::string Load = m_Load.empty() ? "" : "Load: " + m_Load + "\r\n";
+    const std::string Load =
+        absl::StrCat(m_Load.empty() ? "" : "Load: " + m_Load + "\r\n",
+                     m_IsLeaving ? "Leaving: 1\r\n" : "");
     Peer.send(absl::StrCat("HTTP/1.1 ", Status, "\r\nId: ", Id,
                            "\r\nKeep-Alive: timeout=10\r\n", Load, More,
                            "Content-Length: ", Body.size(), "\r\n\r\n", Body));
@@ -105,6 +108,7 @@
   case Action::Hang:
     ++m_Runs[Id];
     State.m_Hung = true;
+    State.m_HungId = Id;
     return;
   case Action::RunAndReset:
     ++m_Runs[Id];
@@ -136,6 +140,17 @@
   }
 }
 
+void ScriptedTarget::answerHung() {
+  for (size_t Index = 0; Index < m_States.size(); ++Index) {
+    Connection &State = m_States[Index];
+    if (!std::exchange(State.m_Hung, false))
+      continue;
+    --m_Arrivals;
+    --m_Runs[State.m_HungId];
+    handle(m_Listener.peer(Index), State, State.m_HungId);
+  }
+}
+
 int ScriptedTarget::abandoned() {
   for (size_t Index = 0; Index < m_States.size(); ++Index) {
     Connection &State = m_States[Index];
@@ -206,6 +221,11 @@
   m_Registry->setTargets(m_Members);
 }
 
+void EntryBench::restartTarget(const std::string &Id) {
+  ++m_Members.at(Id).m_Incarnation;
+  m_Registry->setTargets(m_Members);
+}
+
 void EntryBench::publish(std::function<void(Route::Builder &)> Change) {
   std::vector<Route> Routes;
   for (const bool Idempotent : {true, false}) {
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -16,7 +16,8 @@
 namespace monsoon {
 
 /// Test dialect: requests carry their id in Id, the caller's time limit in Left
-/// and their key in Key; targets sign answers with Sign.
+/// and their key in Key; targets sign answers with Sign and say with Leaving
+/// that they are leaving.
 class PlainDialect : public Dialect {
 public:
   RequestMetadata readRequest(const HttpRequest &Request) const override;
@@ -60,10 +61,15 @@
   int abandoned();
   void stopListening() { m_Listener.close(); }
 
+  /// Answers the requests that hang.
+  void answerHung();
+
   /// Decides what the target does with a request.
   std::function<Action(const std::string &RequestId)> m_Script;
   /// Value of the Load field of its answers; empty: none.
   std::string m_Load;
+  /// True if its answers state that it is leaving.
+  bool m_IsLeaving = false;
 
   /// Handles all complete requests received so far.
   void poll();
@@ -73,6 +79,7 @@
     size_t m_Handled = 0;
     bool m_Hung = false;
     bool m_Counted = false;
+    std::string m_HungId;
   };
   void handle(RawPeer &Peer, Connection &State, const std::string &Id);
 
@@ -107,6 +114,8 @@
                             const std::string &Pool = "orders",
                             const std::string &Domain = "d1");
   void drainTarget(const std::string &Id);
+  /// Starts a new incarnation of a target at the same address.
+  void restartTarget(const std::string &Id);
   /// Installs a new version of the routes; Change adjusts each of them.
   void publish(std::function<void(Route::Builder &)> Change = nullptr);
 
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -133,6 +133,40 @@
   CHECK(Bench.await("a").m_Body == "t2 ran a");
 }
 
+TEST_SUITE("leaving-target") {
+  TEST_CASE("an owner that says that it leaves serves its keys until they are "
+            "moved") {
+    KeyedBench Bench;
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_IsLeaving = true;
+    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    CHECK(Bench.await("a").m_Body == "t1 ran a");
+    Bench.send("POST", "/write/1", "b", AmpleTime, 5);
+    CHECK(Bench.await("b").m_Body == "t1 ran b");
+    Bench.assign("t2", "t2");
+    Bench.send("POST", "/write/1", "c", AmpleTime, 5);
+    CHECK(Bench.await("c").m_Body == "t2 ran c");
+  }
+
+  TEST_CASE("requests for the keys of a leaving owner are refused at once when "
+            "the keys were not moved in time") {
+    // Guards against requests reaching an owner that said long ago that it
+    // leaves, while the log is away and no key can be moved.
+    KeyedBench Bench;
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_IsLeaving = true;
+    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    Bench.await("a");
+    Bench.runUntil([]() { return false; }, Milliseconds(1600));
+    const TimePoint Before = Bench.m_Time.now();
+    Bench.send("POST", "/write/1", "b", AmpleTime, 5);
+    CHECK(Bench.await("b").m_Status == 503);
+    CHECK(Bench.await("b").m_Fields.find("Retry-After"));
+    CHECK(Bench.m_Time.now() - Before < Milliseconds(100));
+    CHECK(Owner.arrivals() == 1);
+  }
+}
+
 TEST_CASE("requests for a key with an unresponsive owner are refused at once") {
   // Guards against new requests waiting until their objective for an owner that
   // hangs.
--- a/tests/membership/loadgossiptest.cpp
+++ b/tests/membership/loadgossiptest.cpp
@@ -133,6 +133,7 @@
     int m_Updates = 0;
     int m_Records = 0;
     int m_MemberLists = 0;
+    std::map<std::string, int64_t> m_LeavingTargets;
     /// Hosts whose knowledge of former owners was reported.
     std::set<std::string> m_FormerOwnersOf;
     std::map<uint32_t, uint32_t> m_KeyCounts;
@@ -160,12 +161,15 @@
             State.m_Next.m_OwnerUpdates.clear();
             State.m_Next.m_TopicRecords.clear();
             State.m_Next.m_Members.reset();
+            State.m_Next.m_LeavingTargets.clear();
             return Report;
           },
           [&State](const HostReport &Report) {
             State.m_Updates += static_cast<int>(Report.m_OwnerUpdates.size());
             State.m_Records += static_cast<int>(Report.m_TopicRecords.size());
             State.m_MemberLists += Report.m_Members ? 1 : 0;
+            State.m_LeavingTargets.insert(Report.m_LeavingTargets.begin(),
+                                          Report.m_LeavingTargets.end());
             if (!Report.m_FormerOwners.empty())
               State.m_FormerOwnersOf.insert(Report.m_Host);
             for (const auto &[Pool, Counts] : Report.m_KeyCounts)
@@ -254,6 +258,18 @@
   CHECK(Given.state(0).m_Updates <= 3);
 }
 
+TEST_CASE("all hosts hear within two ticks that a target is leaving") {
+  ManyHosts Given;
+  Given.run(milliseconds(1000));
+  const std::map<std::string, int64_t> Leaving{{"t", 5}};
+  Given.state(7).m_Next.m_LeavingTargets = Leaving;
+  Given.gossip(7).requestBriefReport();
+  Given.run(milliseconds(100));
+  for (int Number = 0; Number < ManyHosts::Count; ++Number)
+    if (Number != 7)
+      CHECK(Given.state(Number).m_LeavingTargets == Leaving);
+}
+
 TEST_CASE("the lease holder gets each request of other domains counted once") {
   ManyHosts Given;
   for (const auto &Each : Given.m_Gossip)
@@ -327,6 +343,7 @@
   Report.m_FormerOwners = {{"ledger", {2, 1'099'511'627'780}}};
   Report.m_TopicRecords = {
       {"targets", 90, 120, {{"t1", "\x01\xff", 95}, {"t2", {}, 118}}}};
+  Report.m_LeavingTargets = {{"t1", 1'764'900'000'000}, {"t2", 0}};
   Report.m_Members = {12, {"h1", "h2"}};
   Report.m_SummedHosts = 4;
   Report.m_OtherDomains = {9, {{"t1", 7}}, {{"t2", 2}}};
@@ -353,6 +370,7 @@
         R"("r":[{"t":"x","f":1,"e":2,"r":[[1]]}])",
         R"("r":[{"t":"x","f":1,"e":2,"r":[[1,"k","%%"]]}])", R"("m":[])",
         R"("m":{"g":1,"n":[3]})", R"("s":0)", R"("s":"two")", R"("d":[])",
-        R"("d":{"n":-1,"f":[],"w":[]})", R"("u":{})"})
+        R"("d":{"n":-1,"f":[],"w":[]})", R"("u":{})", R"("l":[])",
+        R"("l":{"t1":"x"})"})
     CHECK(!decodeHostReport("{" + Valid + "," + Fields + "}").has_value());
 }
--- a/tests/platform/dialecttest.cpp
+++ b/tests/platform/dialecttest.cpp
@@ -58,3 +58,15 @@
   Answer.m_Status = 500;
   CHECK(!PlatformDialect().readAnswer(Answer).m_NotExecuted);
 }
+
+TEST_CASE("a server that leaves says so with 1, in any of several fields") {
+  HttpResponse Answer;
+  Answer.m_Status = 200;
+  CHECK(!PlatformDialect().readAnswer(Answer).m_IsLeaving);
+  for (const char *Other : {"0", "", "true", "11"}) {
+    Answer.m_Fields.add("Server-Leaving", Other);
+    CHECK(!PlatformDialect().readAnswer(Answer).m_IsLeaving);
+  }
+  Answer.m_Fields.add("server-leaving", "1");
+  CHECK(PlatformDialect().readAnswer(Answer).m_IsLeaving);
+}
--- a/tests/platform/grantclienttest.cpp
+++ b/tests/platform/grantclienttest.cpp
@@ -96,6 +96,18 @@
     CHECK(Fixture.grant(0) == GrantCallResult::Unanswered);
   }
 
+  TEST_CASE("the answer to a grant tells of its target") {
+    GrantFixture Fixture;
+    std::vector<std::string> Seen;
+    Fixture.m_Client.onAnswer(
+        [&](const TargetInfo &From, const HttpResponse &Answer) {
+          Seen.push_back(From.m_Id + " " + std::to_string(Answer.m_Status));
+        });
+    Fixture.grant(200);
+    Fixture.grant(409);
+    CHECK(Seen == std::vector<std::string>{"i-1 200", "i-1 409"});
+  }
+
   TEST_CASE("a grant to an address without a listener is unreachable") {
     GrantFixture Fixture;
     Fixture.m_Acceptor.close();
