--- a/src/core/hostshare.h
+++ b/src/core/hostshare.h
@@ -22,6 +22,7 @@
   /// from target to target.
   int of(int Total, const std::string &TargetName) const;
 
+  const std::string &self() const { return m_Self; }
   size_t hosts() const { return m_Hosts.size(); }
   const std::set<std::string> &names() const { return m_Hosts; }
   bool isConnected() const { return m_IsConnected; }
--- a/src/entry/ownershipmanager.cpp
+++ b/src/entry/ownershipmanager.cpp
@@ -75,6 +75,11 @@
   const TargetNodePtr Node = m_Targets.find(Info.m_Id);
   if (!Node)
     return Info.m_Slots;
+  // Requests of a limited target take as many slots on average as their number
+  // a second times their length.
+  if (Node->requestLimit())
+    return std::min<double>(Info.m_Slots,
+                            *Node->requestLimit() * m_ServiceSeconds);
   const double Speed =
       std::clamp(1 / Node->load().baselineSlowdown(m_Ports.m_Clock.now()),
                  1 / MaxSpeedRatio, MaxSpeedRatio);
@@ -88,6 +93,7 @@
   if (!Ownership)
     return;
   const double Seconds = std::chrono::duration<double>(ServiceTime).count();
+  m_ServiceSeconds = Seconds;
   // With free capacity, keys go to the targets that answer fastest; near
   // overload, to each target in proportion to its capacity.
   double Slots = 0;
--- a/src/entry/ownershipmanager.h
+++ b/src/entry/ownershipmanager.h
@@ -84,6 +84,8 @@
   uint64_t m_LogEpoch = FirstLogEpoch;
   TimePoint m_LogEpochKnownAt{};
   double m_SpeedExponent = 1;
+  /// Mean time to serve a request, in seconds.
+  double m_ServiceSeconds = 0;
   std::map<std::string, std::unique_ptr<RangeAssigner>> m_ByPool;
 };
 
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -1,6 +1,7 @@
 #include "entry/pooldispatcher.h"
 
 #include "core/keyspace.h"
+#include "policy/limitpacer.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
@@ -148,9 +149,12 @@
   const TimePoint Now = m_Parts.m_Clock.now();
   DemandGate &Gate = m_Demand[OwnerId];
   const QueueOutlook Outlook = queueOutlook(OwnerId);
-  const double ServedRate =
+  double ServedRate =
       Outlook.m_Concurrency /
       std::chrono::duration<double>(Outlook.m_ServiceTime).count();
+  const TargetNodePtr Owner = m_Parts.m_Targets.find(OwnerId);
+  if (Owner && Owner->requestLimit())
+    ServedRate = std::min(ServedRate, *Owner->requestLimit());
   const bool IsAdmitted = Gate.admits(Now, ServedRate, Outlook.m_Hosts,
                                       stableHash(Request.facts().m_Id));
   Gate.noteArrival(Now);
@@ -169,6 +173,10 @@
     Result.m_ServiceTime = Owner->load().serviceTime(Now, m_TypicalServiceTime);
     Result.m_Concurrency = Owner->load().slots();
     Result.m_PeersWaiting = Owner->load().peersWaiting(Now);
+    Result.m_SendInterval = limitInterval(*Owner);
+    Result.m_UntilNextSend =
+        std::max(Duration::zero(),
+                 Owner->pace().lastSent() + Result.m_SendInterval - Now);
     return Result;
   }
   Result.m_Concurrency = 0;
@@ -219,7 +227,16 @@
   return std::chrono::duration_cast<Milliseconds>(std::max(Expected, Minimum));
 }
 
+Duration PoolDispatcher::limitInterval(const TargetNode &Node) const {
+  if (!Node.requestLimit())
+    return Duration::zero();
+  return LimitPacer::interval(*Node.requestLimit(), m_Parts.m_Hosts.share(),
+                              Node.info().m_Id);
+}
+
 bool PoolDispatcher::paceAllows(const TargetNode &Node, TimePoint Now) const {
+  if (Node.requestLimit() && Now - Node.pace().lastSent() < limitInterval(Node))
+    return false;
   if (!Node.isCold(Now) || m_WarmupRate <= 0)
     return true;
   return Node.pace().maySend(Now,
@@ -341,7 +358,8 @@
     Target.load().noteAnswered(Now, Outcome.m_Elapsed, m_TypicalServiceTime,
                                Failed);
   }
-  m_Parts.m_Targets.noteAnswer(Target.info(), Outcome.m_Facts);
+  m_Parts.m_Targets.noteAnswer(Target.info(), Outcome.m_Facts,
+                               Now - Outcome.m_Elapsed);
   if (Outcome.m_Facts.m_WarmupLeft)
     Target.setWarmupLeft(Now, *Outcome.m_Facts.m_WarmupLeft);
 }
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -105,8 +105,12 @@
   TargetNodePtr chooseTarget(const Exchange &Request) const;
   /// The owner of the request's key, or null if it can't take it now.
   TargetNodePtr chooseOwner(const Exchange &Request) const;
-  /// False while a cold target may not be sent another request.
+  /// False while a target that is cold or has named a limit may not be sent
+  /// another request by this host.
   bool paceAllows(const TargetNode &Node, TimePoint Now) const;
+  /// Least time between two requests of this host to the target, by the limit
+  /// that it has named; zero if it has named none.
+  Duration limitInterval(const TargetNode &Node) const;
   /// Sends a request, or queues it if an answer in time is expected, or ends
   /// it.
   void dispatchOrQueue(const ExchangePtr &Request);
--- a/src/entry/targetnode.h
+++ b/src/entry/targetnode.h
@@ -49,6 +49,11 @@
     return m_LeavingSince;
   }
 
+  /// Requests per second that the target takes from all hosts together, as it
+  /// states in its answers; unset if it names no limit.
+  void setRequestLimit(std::optional<double> Value) { m_RequestLimit = Value; }
+  const std::optional<double> &requestLimit() const { return m_RequestLimit; }
+
   SlowStartPacer &pace() { return m_Pace; }
   const SlowStartPacer &pace() const { return m_Pace; }
 
@@ -60,6 +65,7 @@
   TimePoint m_ColdUntil{};
   bool m_AwaitsHeartbeat = false;
   std::optional<TimePoint> m_LeavingSince;
+  std::optional<double> m_RequestLimit;
   std::unique_ptr<LinkPool> m_Links;
 };
 
--- a/src/entry/targetregistry.cpp
+++ b/src/entry/targetregistry.cpp
@@ -49,6 +49,7 @@
     Node =
         std::make_shared<TargetNode>(Info, Now, m_MakeLinkPool(Info.m_Address));
     Node->setLeavingSince(m_Notices.leavingSince(Id, Info.m_Incarnation));
+    Node->setRequestLimit(m_Notices.limitOf(Id, Info.m_Incarnation));
     m_Events.event(Severity::Info, "target_joined",
                    {{"target", Id},
                     {"pool", Info.m_Pool},
@@ -62,12 +63,32 @@
 }
 
 void TargetRegistry::noteAnswer(const TargetInfo &From,
-                                const AnswerMetadata &Facts) {
+                                const AnswerMetadata &Facts, TimePoint SentAt) {
   // Another target may have sent it.
   if (Facts.m_IsMisdirected)
     return;
   if (Facts.m_IsLeaving)
     noteLeaving(From.m_Id, From.m_Incarnation, "");
+  if (!Facts.m_RequestLimit.m_IsUnreadable)
+    noteLimit(From, Facts.m_RequestLimit.m_PerSecond, SentAt);
+}
+
+void TargetRegistry::noteLimit(const TargetInfo &From,
+                               std::optional<double> PerSecond,
+                               TimePoint SentAt) {
+  if (!m_Notices.noteLimit(m_Clock.now(), From.m_Id, From.m_Incarnation,
+                           PerSecond, SentAt))
+    return;
+  const TargetNodePtr Node = find(From.m_Id);
+  if (Node && Node->info().m_Incarnation == From.m_Incarnation)
+    Node->setRequestLimit(PerSecond);
+  EventSink::Details Fields{{"target", From.m_Id},
+                            {"pool", From.m_Pool},
+                            {"incarnation", absl::StrCat(From.m_Incarnation)}};
+  if (PerSecond)
+    Fields.emplace_back("per_s", absl::StrCat(*PerSecond));
+  m_Events.event(Severity::Info,
+                 PerSecond ? "target_limited" : "target_unlimited", Fields);
 }
 
 void TargetRegistry::noteLeaving(const std::string &Id, int64_t Incarnation,
--- a/src/entry/targetregistry.h
+++ b/src/entry/targetregistry.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -34,7 +35,10 @@
     m_OnLeaving = std::move(Callback);
   }
   /// Applies what an answer to this host says of the target's own state.
-  void noteAnswer(const TargetInfo &From, const AnswerMetadata &Facts);
+  /// SentAt: when its request was sent. Logs target_limited and
+  /// target_unlimited.
+  void noteAnswer(const TargetInfo &From, const AnswerMetadata &Facts,
+                  TimePoint SentAt);
   /// Notes that the target has stated in an answer that it is leaving; Peer is
   /// the host that reports it, or empty if this host got the answer.
   void noteLeaving(const std::string &Id, int64_t Incarnation,
@@ -80,6 +84,8 @@
   }
 
 private:
+  void noteLimit(const TargetInfo &From, std::optional<double> PerSecond,
+                 TimePoint SentAt);
   /// As isUsable(), whatever the target's answers say.
   bool isInService(const TargetNode &Node) const;
 
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -189,10 +189,10 @@
       m_OperatorTopic.requestFullRead();
       m_MembershipTopic.requestFullRead();
     });
-    m_Grants.onAnswer(
-        [this](const TargetInfo &From, const HttpResponse &Answer) {
-          m_Targets.noteAnswer(From, m_Dialect.readAnswer(Answer));
-        });
+    m_Grants.onAnswer([this](const TargetInfo &From, const HttpResponse &Answer,
+                             TimePoint SentAt) {
+      m_Targets.noteAnswer(From, m_Dialect.readAnswer(Answer), SentAt);
+    });
     m_Targets.onLeaving([this]() {
       m_Ownership.refreshTargets(m_Directory.targets());
       m_LoadGossip.requestBriefReport();
--- a/src/policy/poolqueue.cpp
+++ b/src/policy/poolqueue.cpp
@@ -30,12 +30,15 @@
 
 Duration PoolQueue::expectedWait(TimePoint Now, int Priority,
                                  const QueueOutlook &Outlook) const {
-  const double Ahead =
-      static_cast<double>(countAhead(Now, Priority, Outlook.m_ServiceTime)) +
-      Outlook.m_PeersWaiting;
-  return std::chrono::duration_cast<Duration>(
+  const auto OwnAhead =
+      static_cast<double>(countAhead(Now, Priority, Outlook.m_ServiceTime));
+  const double Ahead = OwnAhead + Outlook.m_PeersWaiting;
+  const auto ForCapacity = std::chrono::duration_cast<Duration>(
       Outlook.m_ServiceTime * (Ahead + 1) /
       std::max(Outlook.m_Concurrency, 0.5));
+  const auto ForPace = std::chrono::duration_cast<Duration>(
+      Outlook.m_UntilNextSend + Outlook.m_SendInterval * OwnAhead);
+  return std::max(ForCapacity, ForPace);
 }
 
 bool PoolQueue::wouldServeBy(TimePoint Moment, TimePoint Now, int Priority,
--- a/src/policy/poolqueue.h
+++ b/src/policy/poolqueue.h
@@ -34,6 +34,10 @@
   double m_PeersWaiting = 0;
   /// Number of entry hosts that compete for it, including this one.
   size_t m_Hosts = 1;
+  /// Least time between two requests that this host may send, and the time
+  /// until the next one; zero if only the capacity matters.
+  Duration m_SendInterval{};
+  Duration m_UntilNextSend{};
 };
 
 /// The requests of one pool that wait for a target, ordered by priority, then
--- a/src/policy/slowstartpacer.h
+++ b/src/policy/slowstartpacer.h
@@ -20,6 +20,8 @@
                const std::string &TargetId) const;
 
   void noteSent(TimePoint Now) { m_LastSent = Now; }
+  /// When the last request was sent; the epoch of the clock if none was.
+  TimePoint lastSent() const { return m_LastSent; }
 
 private:
   TimePoint m_LastSent{};
--- a/src/policy/targetnotices.h
+++ b/src/policy/targetnotices.h
@@ -5,6 +5,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -27,6 +28,15 @@
   /// The leaving targets, with their incarnations, that peers need to hear of
   /// from this host: those which have told it within the last second.
   std::map<std::string, int64_t> leavingToReport(TimePoint Now) const;
+  /// Records the requests per second that a target states it takes, or with
+  /// none that it states no limit, in an answer to a request sent at SentAt. An
+  /// answer without a limit to a request that was sent before the limit was
+  /// last named says nothing. Returns true if the limit has changed.
+  bool noteLimit(TimePoint Now, const std::string &Id, int64_t Incarnation,
+                 std::optional<double> PerSecond, TimePoint SentAt);
+  /// The limit that the incarnation last named, in requests per second.
+  std::optional<double> limitOf(const std::string &Id,
+                                int64_t Incarnation) const;
   /// Drops the notices of targets that are no longer known and were silent for
   /// five minutes.
   void forgetUnknown(TimePoint Now,
@@ -34,10 +44,18 @@
 
 private:
   struct Notice {
-    int64_t m_Incarnation = 0;
-    TimePoint m_LeavingSince{};
+    /// The lowest value as long as there is no notice.
+    int64_t m_Incarnation = std::numeric_limits<int64_t>::min();
+    std::optional<TimePoint> m_LeavingSince;
     bool m_IsFromPeer = false;
+    std::optional<double> m_Limit;
+    TimePoint m_LimitNamedAt{};
+    TimePoint m_LastNoticeAt{};
   };
+  /// The notice of this incarnation, or null if a later one is known.
+  Notice *prepare(TimePoint Now, const std::string &Id, int64_t Incarnation);
+  const Notice *find(const std::string &Id, int64_t Incarnation) const;
+
   std::map<std::string, Notice> m_Notices;
 };
 
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -20,6 +20,18 @@
   std::optional<uint32_t> m_Key;
 };
 
+/// What an answer says of the rate at which its target takes requests.
+struct RequestLimitNotice {
+  /// True if the answer is to be ignored here since what it says is unreadable.
+  bool m_IsUnreadable = false;
+  /// Requests per second that the target takes from all hosts together, from 0
+  /// to MaxRequestLimit; unset if it names no limit.
+  std::optional<double> m_PerSecond;
+};
+
+/// A target that takes more requests per second than this needs no limit.
+inline constexpr double MaxRequestLimit = 1e6;
+
 /// What the status and header fields of a target's answer say.
 struct AnswerMetadata {
   /// Id of the request that is answered; empty if the answer does not say.
@@ -32,6 +44,8 @@
   bool m_IsMisdirected = false;
   /// True if the target states that it is leaving and wants no new requests.
   bool m_IsLeaving = false;
+  /// What the target states of the rate of requests that it takes.
+  RequestLimitNotice m_RequestLimit;
   /// Load of the target, if reported.
   std::optional<LoadReport> m_Load;
   /// Remaining time of the target's warm-up, if reported.
--- a/tests/entry/dispatchertest.cpp
+++ b/tests/entry/dispatchertest.cpp
@@ -315,6 +315,50 @@
   }
 }
 
+TEST_SUITE("request-limit") {
+  TEST_CASE("a target that has named a limit gets no more than that, and the "
+            "others the rest") {
+    // Guards against requests beyond the limit that a target names.
+    EntryBench Bench;
+    ScriptedTarget &Limited = Bench.addTarget("t1");
+    Limited.m_Limit = "1";
+    Bench.publish();
+    Bench.send("GET", "/read/1", "first", AmpleTime);
+    Bench.await("first");
+    Bench.addTarget("t2");
+    const int Before = Limited.arrivals();
+    int Sent = 0;
+    const TimePoint End = Bench.m_Time.now() + Milliseconds(4000);
+    while (Bench.m_Time.now() < End) {
+      const std::string Id = "a" + std::to_string(Sent++);
+      Bench.send(Sent % 2 == 0 ? "GET" : "POST",
+                 Sent % 2 == 0 ? "/read/1" : "/write/1", Id, AmpleTime);
+      CHECK(Bench.await(Id).m_Status == 200);
+      Bench.runUntil([]() { return false; }, Milliseconds(20));
+    }
+    REQUIRE(Sent > 40);
+    CHECK(Limited.arrivals() - Before <= 4);
+  }
+
+  TEST_CASE("a limit ends when the target answers without it") {
+    EntryBench Bench;
+    ScriptedTarget &Target = Bench.addTarget("t1");
+    Target.m_Limit = "2";
+    Bench.publish();
+    Bench.send("GET", "/read/1", "a", AmpleTime);
+    Bench.await("a");
+    Target.m_Limit.clear();
+    Bench.runUntil([]() { return false; }, Milliseconds(600));
+    Bench.send("GET", "/read/1", "b", AmpleTime);
+    CHECK(Bench.await("b").m_Status == 200);
+    for (int Index = 0; Index < 5; ++Index) {
+      const std::string Id = "c" + std::to_string(Index);
+      Bench.send("GET", "/read/1", Id, Milliseconds(300));
+      CHECK(Bench.await(Id).m_Status == 200);
+    }
+  }
+}
+
 TEST_SUITE("domain-out") {
   TEST_CASE("a failure domain that is out gets no requests, and its targets "
             "are used again only after their next heartbeat") {
--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -51,6 +51,10 @@
   Facts.m_IsSigned = Answer.m_Fields.find("Sign") != nullptr;
   Facts.m_IsMisdirected = Answer.m_Status == 421;
   Facts.m_IsLeaving = Answer.m_Fields.find("Leaving") != nullptr;
+  double Limit = 0;
+  const std::string *LimitText = Answer.m_Fields.find("Limit");
+  if (LimitText && absl::SimpleAtod(*LimitText, &Limit))
+    Facts.m_RequestLimit.m_PerSecond = Limit;
   Facts.m_NotExecuted =
       Facts.m_IsMisdirected || Answer.m_Fields.find("Not-Run") != nullptr;
   return Facts;
@@ -89,7 +93,8 @@
                           const std::string &Body) {
     const std::string Load =
         absl::StrCat(m_Load.empty() ? "" : "Load: " + m_Load + "\r\n",
-                     m_IsLeaving ? "Leaving: 1\r\n" : "");
+                     m_IsLeaving ? "Leaving: 1\r\n" : "",
+                     m_Limit.empty() ? "" : "Limit: " + m_Limit + "\r\n");
     Peer.send(absl::StrCat("HTTP/1.1 ", Status, "\r\nId: ", Id,
                            "\r\nKeep-Alive: timeout=10\r\n", Load, More,
                            "Content-Length: ", Body.size(), "\r\n\r\n", Body));
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -16,8 +16,8 @@
 namespace monsoon {
 
 /// Test dialect: requests carry their id in Id, the caller's time limit in Left
-/// and their key in Key; targets sign answers with Sign and say with Leaving
-/// that they are leaving.
+/// and their key in Key; targets sign answers with Sign, say with Leaving that
+/// they are leaving and name a limit with Limit.
 class PlainDialect : public Dialect {
 public:
   RequestMetadata readRequest(const HttpRequest &Request) const override;
@@ -68,6 +68,8 @@
   std::function<Action(const std::string &RequestId)> m_Script;
   /// Value of the Load field of its answers; empty: none.
   std::string m_Load;
+  /// Requests per second that its answers name as its limit; empty: none.
+  std::string m_Limit;
   /// True if its answers state that it is leaving.
   bool m_IsLeaving = false;
 
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -167,6 +167,37 @@
   }
 }
 
+TEST_SUITE("request-limit") {
+  TEST_CASE("what an owner's limit does not allow is refused at once") {
+    KeyedBench Bench;
+    Bench.publish([](Route::Builder &Builder) {
+      Builder.latencyObjective(Milliseconds(600)).deadline(Milliseconds(2000));
+    });
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_Limit = "1";
+    Bench.send("GET", "/read/1", "first", Milliseconds(2000), 5);
+    Bench.await("first");
+    int Served = 0;
+    for (int Index = 0; Index < 40; ++Index) {
+      const std::string Id = "a" + std::to_string(Index);
+      const TimePoint Before = Bench.m_Time.now();
+      Bench.send("GET", "/read/1", Id, Milliseconds(2000), 5);
+      const HttpResponse &Answer = Bench.await(Id);
+      Served += Answer.m_Status == 200 ? 1 : 0;
+      if (Answer.m_Status != 200) {
+        CHECK(Answer.m_Status == 503);
+        CHECK(Answer.m_Fields.find("Retry-After"));
+        CHECK(Bench.m_Time.now() - Before < Milliseconds(100));
+      }
+      Bench.runUntil([]() { return false; }, Milliseconds(60));
+    }
+    CHECK(Served >= 1);
+    CHECK(Owner.arrivals() <= 1 + 4);
+    Bench.send("GET", "/read/1", "b", AmpleTime, 40'000);
+    CHECK(Bench.await("b").m_Body == "t2 ran b");
+  }
+}
+
 TEST_CASE("requests for a key with an unresponsive owner are refused at once") {
   // Guards against new requests waiting until their objective for an owner that
   // hangs.
--- a/tests/platform/dialecttest.cpp
+++ b/tests/platform/dialecttest.cpp
@@ -70,3 +70,27 @@
   Answer.m_Fields.add("server-leaving", "1");
   CHECK(PlatformDialect().readAnswer(Answer).m_IsLeaving);
 }
+
+TEST_CASE("the lowest limit that a server names counts") {
+  const auto Read = [](const std::vector<std::string> &Values) {
+    HttpResponse Answer;
+    Answer.m_Status = 200;
+    for (const std::string &Each : Values)
+      Answer.m_Fields.add("Server-Limit", Each);
+    return PlatformDialect().readAnswer(Answer).m_RequestLimit;
+  };
+  CHECK(!Read({}).m_PerSecond);
+  CHECK(!Read({}).m_IsUnreadable);
+  CHECK(Read({"2"}).m_PerSecond == 2);
+  CHECK(Read({"0.5"}).m_PerSecond == 0.5);
+  CHECK(Read({"0"}).m_PerSecond == 0);
+  CHECK(Read({"4", "3"}).m_PerSecond == 3);
+  CHECK(Read({"4", "many"}).m_PerSecond == 4);
+  CHECK(!Read({"4", "many"}).m_IsUnreadable);
+  CHECK(!Read({"1e9"}).m_PerSecond);
+  CHECK(!Read({"1e9"}).m_IsUnreadable);
+  for (const char *Invalid : {"-1", "nan", "", "many", "1 2"}) {
+    CHECK(!Read({Invalid}).m_PerSecond);
+    CHECK(Read({Invalid}).m_IsUnreadable);
+  }
+}
--- a/tests/platform/grantclienttest.cpp
+++ b/tests/platform/grantclienttest.cpp
@@ -99,10 +99,11 @@
   TEST_CASE("the answer to a grant tells of its target") {
     GrantFixture Fixture;
     std::vector<std::string> Seen;
-    Fixture.m_Client.onAnswer(
-        [&](const TargetInfo &From, const HttpResponse &Answer) {
-          Seen.push_back(From.m_Id + " " + std::to_string(Answer.m_Status));
-        });
+    Fixture.m_Client.onAnswer([&](const TargetInfo &From,
+                                  const HttpResponse &Answer,
+                                  TimePoint /*SentAt*/) {
+      Seen.push_back(From.m_Id + " " + std::to_string(Answer.m_Status));
+    });
     Fixture.grant(200);
     Fixture.grant(409);
     CHECK(Seen == std::vector<std::string>{"i-1 200", "i-1 409"});
--- a/tests/policy/targetnoticestest.cpp
+++ b/tests/policy/targetnoticestest.cpp
@@ -49,3 +49,28 @@
     CHECK(!Notices.leavingSince("t", 1));
   }
 }
+
+TEST_CASE("a limit holds until a later request is answered without it") {
+  TargetNotices Notices;
+  CHECK(!Notices.noteLimit(Start, "t", 1, {}, Start));
+  CHECK(Notices.noteLimit(Start, "t", 1, 2.0, Start - Second));
+  CHECK(!Notices.noteLimit(Start + Second, "t", 1, 2.0, Start));
+  CHECK(Notices.limitOf("t", 1) == 2.0);
+  // Sent before the limit was named for the last time.
+  CHECK(!Notices.noteLimit(Start + 2 * Second, "t", 1, {}, Start));
+  CHECK(Notices.limitOf("t", 1) == 2.0);
+  CHECK(Notices.noteLimit(Start + 3 * Second, "t", 1, 0.5, Start));
+  CHECK(Notices.limitOf("t", 1) == 0.5);
+  CHECK(Notices.noteLimit(Start + 5 * Second, "t", 1, {}, Start + 4 * Second));
+  CHECK(!Notices.limitOf("t", 1));
+}
+
+TEST_CASE("a new incarnation has no limit, and an old one's no effect") {
+  TargetNotices Notices;
+  Notices.noteLimit(Start, "t", 1, 2.0, Start);
+  CHECK(!Notices.limitOf("t", 2));
+  Notices.noteLeaving(Start, "t", 2, false);
+  CHECK(!Notices.limitOf("t", 1));
+  CHECK(!Notices.noteLimit(Start, "t", 1, 3.0, Start));
+  CHECK(!Notices.limitOf("t", 2));
+}
