--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -118,11 +118,13 @@
     refuse(Request, "owner_silent");
     return;
   }
-  const bool IsRefused =
-      Owner ? Owner->leavingSince() && !m_Parts.m_Targets.isUsableOwner(*Owner)
-            : !m_Ownership && !m_Parts.m_Targets.expectsUsable(m_Name);
-  if (IsRefused) {
-    failRequest(Request, ErrorKind::AnswerLost, "targets_leaving");
+  if (Owner && Owner->leavingSince() &&
+      !m_Parts.m_Targets.isUsableOwner(*Owner)) {
+    failRequest(Request, ErrorKind::AnswerLost, "owner_leaving");
+    return;
+  }
+  if (!m_Ownership && !m_Parts.m_Targets.expectsUsable(m_Name)) {
+    failRequest(Request, ErrorKind::AnswerLost, "no_usable_target");
     return;
   }
   PoolQueue &Queue = m_OwnerQueues[OwnerId];
