A removed keyed pool keeps its assigner until its requests are finished

Cause: OwnershipManager alone owned the assigners, PoolDispatcher kept a plain pointer. New tables destroyed the assigner of a removed pool, and the dispatcher of that pool, which is visited with all others, read it at the next event. The address sanitizer shows this on the code before: read in PoolDispatcher::requeueByOwner(), freed by OwnershipManager::setRoutes(). Ruled out: late callbacks of the assigner or its follower, which all check that it still exists, and routes of queued requests, which are shared.

Change: the assigner is shared with the pool's dispatcher. That of a removed pool decides nothing more, but requests that had arrived are still dispatched by its table. The dispatcher of a removed pool, which was kept for ever, is dropped with its last request.

Tests: entrytest -ts=removed-pool, with the real OwnershipManager. On the code before, six of the seven cases end with heap-use-after-free (queues checked, request in flight, queued request, caller gone and deadline, pool dropped, pool added again); the seventh, targets that own keys no longer, passed before and after. Now all 46 cases of entrytest pass under the address and undefined behaviour sanitizers.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -2,6 +2,7 @@
 
 #include "core/keyspace.h"
 
+#include <iterator>
 #include <utility>
 
 namespace monsoon {
@@ -36,6 +37,22 @@
   dispatchWaiting();
 }
 
+void Dispatcher::tick() {
+  dropRemovedPools();
+  armDispatchTimer();
+}
+
+void Dispatcher::dropRemovedPools() {
+  // The tables' pools are all in the map, so it has no others at equal size.
+  if (!m_Routes || m_Pools.size() == m_Routes->tables().pools().size())
+    return;
+  for (auto It = m_Pools.begin(); It != m_Pools.end();) {
+    const bool IsUsed =
+        m_Routes->tables().findPool(It->first) || It->second->hasRequests();
+    It = IsUsed ? std::next(It) : m_Pools.erase(It);
+  }
+}
+
 void Dispatcher::dispatchWaiting() {
   for (const auto &[Name, Each] : m_Pools)
     Each->dispatchWaiting();
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -22,13 +22,14 @@
 public:
   /// Returns the key ownership of a pool, or null.
   using OwnershipLookup =
-      std::function<RangeAssigner *(const std::string &Pool)>;
+      std::function<std::shared_ptr<RangeAssigner>(const std::string &Pool)>;
 
   Dispatcher(boost::asio::io_context &Loop, const Dialect &Protocol,
              PoolDispatcher::Parts Parts, OwnershipLookup FindOwnership);
 
-  /// Installs another version of the routing tables. Requests in flight keep
-  /// the version with which they arrived.
+  /// Installs another version of the routing tables. Requests that have arrived
+  /// keep the version with which they arrived; they are still dispatched if
+  /// their pool was removed.
   void setRoutes(RouteIndexPtr Routes);
   const RouteIndexPtr &routes() const { return m_Routes; }
 
@@ -39,9 +40,9 @@
   /// Refuses all new requests as not run from now on; accepted ones go on.
   void refuseNewRequests() { m_RefusesNew = true; }
 
-  /// Keeps the queues checked while requests wait. Called several times a
-  /// second.
-  void tick() { armDispatchTimer(); }
+  /// Keeps the queues checked while requests wait, and drops removed pools that
+  /// have no request left. Called several times a second.
+  void tick();
 
   /// The dispatcher of a pool, or null.
   const PoolDispatcher *findPool(const std::string &Name) const;
@@ -60,6 +61,7 @@
   const std::string &choosePool(const Route &MatchedRoute);
   /// Starts the timer that checks the queues, if requests wait.
   void armDispatchTimer();
+  void dropRemovedPools();
 
   boost::asio::io_context &m_Loop;
   const Dialect &m_Dialect;
--- a/src/entry/ownershipmanager.cpp
+++ b/src/entry/ownershipmanager.cpp
@@ -31,7 +31,7 @@
     if (!Each.isOwnedByKey() || find(Each.name()))
       continue;
     auto &Ownership = m_ByPool[Each.name()];
-    Ownership = std::make_unique<RangeAssigner>(
+    Ownership = std::make_shared<RangeAssigner>(
         m_Host, Each.name(), absl::StrCat("owners.", Each.name()), m_Times,
         m_Ports);
     Ownership->onChange([this]() {
@@ -89,7 +89,7 @@
 void OwnershipManager::updateServiceTime(const std::string &Pool,
                                          Duration ServiceTime,
                                          double RequestScale) {
-  RangeAssigner *Ownership = find(Pool);
+  const auto Ownership = find(Pool);
   if (!Ownership)
     return;
   const double Seconds = std::chrono::duration<double>(ServiceTime).count();
@@ -165,17 +165,17 @@
 
 void OwnershipManager::applyReport(const HostReport &Report) {
   for (const auto &[Pool, Counts] : Report.m_KeyCounts)
-    if (RangeAssigner *Ownership = find(Pool))
+    if (const auto Ownership = find(Pool))
       for (const auto &[Key, Count] : Counts)
         Ownership->countPeerRequests(Key, Count);
   for (const OwnerTableUpdate &Each : Report.m_OwnerUpdates)
-    if (RangeAssigner *Ownership = find(Each.m_Pool))
+    if (const auto Ownership = find(Each.m_Pool))
       Ownership->applyUpdate(Each);
   for (const auto &[Pool, Ended] : Report.m_EndedTerms)
-    if (RangeAssigner *Ownership = find(Pool))
+    if (const auto Ownership = find(Pool))
       Ownership->applyEndedTerm(Report.m_Host, Ended);
   for (const auto &[Pool, Former] : Report.m_FormerOwners)
-    if (RangeAssigner *Ownership = find(Pool))
+    if (const auto Ownership = find(Pool))
       Ownership->applyFormerOwners(Report.m_Host, Former);
 }
 
@@ -184,9 +184,10 @@
     Ownership->tick();
 }
 
-RangeAssigner *OwnershipManager::find(const std::string &Pool) const {
+std::shared_ptr<RangeAssigner>
+OwnershipManager::find(const std::string &Pool) const {
   const auto It = m_ByPool.find(Pool);
-  return It == m_ByPool.end() ? nullptr : It->second.get();
+  return It == m_ByPool.end() ? nullptr : It->second;
 }
 
 std::set<std::string> OwnershipManager::pools() const {
--- a/src/entry/ownershipmanager.h
+++ b/src/entry/ownershipmanager.h
@@ -14,8 +14,11 @@
 
 namespace monsoon {
 
-/// Owns one RangeAssigner for each pool whose targets own keys, passes targets,
+/// Runs one RangeAssigner for each pool whose targets own keys, passes targets,
 /// load and gossip on to them and collects what they have for the peers.
+///
+/// Assigners are shared with those who route by them. That of a pool that was
+/// removed decides nothing any more, but its table remains readable.
 class OwnershipManager {
 public:
   OwnershipManager(std::string Host, AssignerTimes Times,
@@ -60,7 +63,7 @@
   void noteLogSeen(TimePoint At);
 
   /// The key ownership of a pool, or null.
-  RangeAssigner *find(const std::string &Pool) const;
+  std::shared_ptr<RangeAssigner> find(const std::string &Pool) const;
   /// Names of the pools whose targets own keys.
   std::set<std::string> pools() const;
   /// Hosts that hold the lease of some pool, as far as this host has read.
@@ -86,7 +89,7 @@
   double m_SpeedExponent = 1;
   /// Mean time to serve a request, in seconds.
   double m_ServiceSeconds = 0;
-  std::map<std::string, std::unique_ptr<RangeAssigner>> m_ByPool;
+  std::map<std::string, std::shared_ptr<RangeAssigner>> m_ByPool;
 };
 
 } // namespace monsoon
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -82,6 +82,7 @@
 void PoolDispatcher::submit(const ExchangePtr &Request) {
   m_Retries.noteRequest(m_Parts.m_Clock.now());
   Request->setListener(this);
+  ++m_Unfinished;
   if (m_Ownership) {
     if (!Request->facts().m_Key) {
       Request->answer(errorAnswer(ErrorKind::KeyMissing, Request->facts().m_Id,
@@ -534,6 +535,7 @@
 
 void PoolDispatcher::requestFinished(const Exchange &Request, int Status,
                                      const char *Reason) {
+  --m_Unfinished;
   RequestReport Report;
   Report.m_RequestId = Request.facts().m_Id;
   Report.m_Route = Request.route().name();
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -13,7 +13,9 @@
 #include "ports/metricssink.h"
 
 #include <map>
+#include <memory>
 #include <string>
+#include <utility>
 
 namespace monsoon {
 
@@ -72,7 +74,9 @@
   PoolDispatcher &operator=(const PoolDispatcher &) = delete;
 
   /// Sets the key ownership of the pool; null if its targets don't own keys.
-  void setOwnership(RangeAssigner *Ownership) { m_Ownership = Ownership; }
+  void setOwnership(std::shared_ptr<RangeAssigner> Ownership) {
+    m_Ownership = std::move(Ownership);
+  }
   void setPool(const Pool &Value) {
     m_WarmupRate = Value.policy().m_WarmupRate;
   }
@@ -83,6 +87,8 @@
   /// past their waitDeadline().
   void dispatchWaiting();
   bool hasWaiting() const;
+  /// True while a request that was submitted here is not finished.
+  bool hasRequests() const { return m_Unfinished > 0; }
   /// Adds the number of requests queued here for each owner, by its target id.
   void addWaiting(std::map<std::string, int> &ByTarget) const;
   /// Moving average of the time from send to answer, converted to a machine of
@@ -152,12 +158,13 @@
 
   const std::string m_Name;
   const Parts m_Parts;
-  RangeAssigner *m_Ownership = nullptr;
+  std::shared_ptr<RangeAssigner> m_Ownership;
   /// Key table by which the requests are queued.
   KeyTablePtr m_QueuedByTable;
   /// Requests per second to a cold target, from all hosts; 0: no limit.
   double m_WarmupRate = 0;
   Duration m_TypicalServiceTime;
+  size_t m_Unfinished = 0;
   RetryWindow m_Retries;
   /// Moving average of the body bytes of a request and its answer.
   double m_MeanBytes = 0;
--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -196,7 +196,7 @@
       m_Loop, m_Dialect,
       PoolDispatcher::Parts{m_Time, *m_Registry, *m_Hosts, *this, "host", "d1",
                             Limits},
-      [this](const std::string & /*Pool*/) { return m_Ownership; });
+      [this](const std::string &Pool) { return m_FindOwnership(Pool); });
 }
 
 EntryBench::~EntryBench() {
@@ -247,10 +247,18 @@
     Routes.push_back(Builder.build());
   }
   Pool::Builder Orders("orders");
-  m_Dispatcher->setRoutes(std::make_shared<const RouteIndex>(
-      ++m_Version,
-      Tables(std::move(Routes), {Orders.ownedByKey(m_OrdersAreKeyed).build()}),
-      RequestLimits()));
+  install(
+      Tables(std::move(Routes), {Orders.ownedByKey(m_OrdersAreKeyed).build()}));
+}
+
+void EntryBench::publishNothing() { install(Tables({}, {})); }
+
+void EntryBench::install(Tables Next) {
+  const auto Routes = std::make_shared<const RouteIndex>(
+      ++m_Version, std::move(Next), RequestLimits());
+  if (m_OnRoutes)
+    m_OnRoutes(*Routes);
+  m_Dispatcher->setRoutes(Routes);
 }
 
 std::shared_ptr<PendingRequest> EntryBench::send(const std::string &Method,
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -120,6 +120,8 @@
   void restartTarget(const std::string &Id);
   /// Installs a new version of the routes; Change adjusts each of them.
   void publish(std::function<void(Route::Builder &)> Change = nullptr);
+  /// Installs a new version without any route or pool.
+  void publishNothing();
 
   /// Starts a request, whose answer await() returns. Null if it was answered at
   /// once.
@@ -147,7 +149,9 @@
   PlainDialect m_Dialect;
   SingleHostGroup m_Group;
   std::vector<RequestReport> m_Reports;
-  RangeAssigner *m_Ownership = nullptr;
+  /// Called with each version of the routes before the dispatcher gets it.
+  std::function<void(const RouteIndex &)> m_OnRoutes;
+  Dispatcher::OwnershipLookup m_FindOwnership;
   bool m_OrdersAreKeyed = false;
   std::unique_ptr<TargetRegistry> m_Registry;
   std::unique_ptr<HostMembership> m_Hosts;
@@ -156,6 +160,8 @@
   std::map<std::string, std::unique_ptr<ScriptedTarget>> m_Targets;
 
 private:
+  void install(Tables Next);
+
   int64_t m_Version = 0;
   std::map<std::string, HttpResponse> m_Answers;
   std::vector<std::shared_ptr<PendingRequest>> m_Pending;
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -1,4 +1,5 @@
 #include "entry/entrybench.h"
+#include "entry/ownershipmanager.h"
 #include "keyowner/keytablecodec.h"
 
 #include <doctest.h>
@@ -66,14 +67,19 @@
 
 struct KeyedBench : EntryBench {
   KeyedBench()
-      : m_Owners("host", "orders", "owners", AssignerTimes(),
-                 {m_Time, m_Log, m_NoGrants, m_NoLease, *this}) {
+      : m_Owners("host", AssignerTimes(),
+                 {m_Time, m_Log, m_NoGrants, m_NoLease, *this}, *m_Registry) {
     addTarget("t1");
     addTarget("t2");
     assign("t1", "t2");
     m_Owners.onChange([this]() { m_Dispatcher->dispatchWaiting(); });
-    m_Owners.tick();
-    m_Ownership = &m_Owners;
+    m_FindOwnership = [this](const std::string &Pool) {
+      return m_Owners.find(Pool);
+    };
+    m_OnRoutes = [this](const RouteIndex &Routes) {
+      m_Owners.setRoutes(Routes);
+      m_Owners.tick();
+    };
     m_OrdersAreKeyed = true;
     publish();
   }
@@ -89,7 +95,7 @@
   TableLog m_Log;
   NoGrants m_NoGrants;
   NoLease m_NoLease;
-  RangeAssigner m_Owners;
+  OwnershipManager m_Owners;
 };
 
 } // namespace
@@ -133,6 +139,101 @@
   CHECK(Bench.await("a").m_Body == "t2 ran a");
 }
 
+TEST_SUITE("removed-pool") {
+  // Guards against entry hosts that crash once a version of the tables removes
+  // a pool whose targets own keys.
+  TEST_CASE("the queues are checked after a keyed pool was removed") {
+    KeyedBench Bench;
+    Bench.send("GET", "/read/1", "a", AmpleTime, 5);
+    CHECK(Bench.await("a").m_Status == 200);
+    Bench.publishNothing();
+    Bench.m_Dispatcher->dispatchWaiting();
+    Bench.send("GET", "/read/1", "b", AmpleTime, 5);
+    CHECK(Bench.await("b").m_Status == 404);
+  }
+
+  TEST_CASE("a request in flight gets its answer after its pool was removed") {
+    KeyedBench Bench;
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
+    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    REQUIRE(Bench.runUntil([&]() { return Bench.runsOf("a") == 1; }));
+    Bench.publishNothing();
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Answer; };
+    Owner.answerHung();
+    CHECK(Bench.await("a").m_Body == "t1 ran a");
+  }
+
+  TEST_CASE("a queued request is served after its pool was removed") {
+    KeyedBench Bench;
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
+    for (int Index = 0; Index < 4; ++Index)
+      Bench.send("POST", "/write/1", "h" + std::to_string(Index), AmpleTime, 5);
+    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    REQUIRE(Bench.runUntil([&]() { return Owner.arrivals() == 4; }));
+    Bench.publishNothing();
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Answer; };
+    Owner.answerHung();
+    CHECK(Bench.await("a").m_Body == "t1 ran a");
+  }
+
+  TEST_CASE("a caller leaves, and a deadline passes, after the pool was "
+            "removed") {
+    KeyedBench Bench;
+    for (const char *Id : {"t1", "t2"})
+      Bench.m_Targets[Id]->m_Script = [](const std::string & /*Id*/) {
+        return Action::Hang;
+      };
+    const auto Leaving = Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    Bench.send("POST", "/write/1", "b", Milliseconds(300), 40'000);
+    REQUIRE(Bench.runUntil([&]() { return Bench.runsOf("b") == 1; }));
+    Bench.publishNothing();
+    Leaving->cancel();
+    CHECK(Bench.await("b").m_Status == 504);
+  }
+
+  TEST_CASE("a removed pool is kept only until its last request is finished") {
+    KeyedBench Bench;
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
+    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    REQUIRE(Bench.runUntil([&]() { return Bench.runsOf("a") == 1; }));
+    Bench.publishNothing();
+    Bench.runUntil([]() { return false; }, Milliseconds(50));
+    CHECK(Bench.m_Dispatcher->findPool("orders"));
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Answer; };
+    Owner.answerHung();
+    CHECK(Bench.await("a").m_Status == 200);
+    CHECK(Bench.runUntil(
+        [&]() { return !Bench.m_Dispatcher->findPool("orders"); }));
+  }
+
+  TEST_CASE("a pool that was removed and added again serves its keys") {
+    KeyedBench Bench;
+    Bench.send("GET", "/read/1", "a", AmpleTime, 5);
+    CHECK(Bench.await("a").m_Status == 200);
+    Bench.publishNothing();
+    Bench.publish();
+    Bench.send("GET", "/read/1", "b", AmpleTime, 5);
+    CHECK(Bench.await("b").m_Body == "t1 ran b");
+  }
+
+  TEST_CASE("a queued request is served after its pool's targets own keys no "
+            "longer") {
+    KeyedBench Bench;
+    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
+    for (int Index = 0; Index < 4; ++Index)
+      Bench.send("POST", "/write/1", "h" + std::to_string(Index), AmpleTime, 5);
+    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
+    REQUIRE(Bench.runUntil([&]() { return Owner.arrivals() == 4; }));
+    Bench.m_OrdersAreKeyed = false;
+    Bench.publish();
+    CHECK(Bench.await("a").m_Body == "t2 ran a");
+  }
+}
+
 TEST_SUITE("leaving-target") {
   TEST_CASE("an owner that says that it leaves serves its keys until they are "
             "moved") {
