Refuse queued requests without a key once their pool's targets own keys

What callers would see: a request without a key that is queued when a config makes its pool's targets own keys is sent to whichever owner an unset number leads to, or waits until its deadline.

Cause: only submit() checked for a key; requeueByOwner(), dispatchOrQueue() and the ends of a request read it unchecked, also for requests that arrived before the change.

Change: lacksKey() is asked where a request is queued, offered or sent again. Such a request is refused as not run at once, or answered as lost if it may have run.

Evidence: the new case "a request without a key is refused at once when its pool's targets begin to own keys" fails on the code before (not answered at once, 504 instead of 503, run once). Two cases for requests in flight pass before and after.

--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -84,7 +84,7 @@
   Request->setListener(this);
   ++m_Unfinished;
   if (m_Ownership) {
-    if (!Request->facts().m_Key) {
+    if (lacksKey(*Request)) {
       Request->answer(errorAnswer(ErrorKind::KeyMissing, Request->facts().m_Id,
                                   "the request has no key", {}),
                       "key_missing");
@@ -102,6 +102,10 @@
 }
 
 void PoolDispatcher::dispatchOrQueue(const ExchangePtr &Request) {
+  if (lacksKey(*Request)) {
+    failRequest(Request, ErrorKind::AnswerLost, "key_missing");
+    return;
+  }
   const std::string OwnerId = ownerQueueId(*Request);
   const auto Waiting = m_OwnerQueues.find(OwnerId);
   // A new request does not overtake a queued one of the same priority.
@@ -141,7 +145,7 @@
 }
 
 std::string PoolDispatcher::ownerQueueId(const Exchange &Request) const {
-  if (!m_Ownership || !m_Ownership->table())
+  if (!m_Ownership || !m_Ownership->table() || lacksKey(Request))
     return "";
   const OwnedRange *Range = m_Ownership->table()->find(*Request.facts().m_Key);
   return Range ? Range->m_Owner : "";
@@ -506,16 +510,17 @@
 void PoolDispatcher::dispatchWaiting() {
   requeueByOwner();
   const TimePoint Now = m_Parts.m_Clock.now();
-  std::vector<ExchangePtr> Expired;
+  std::vector<ExchangePtr> Unservable;
   for (auto &[OwnerId, Queue] : m_OwnerQueues) {
     if (Queue.isEmpty())
       continue;
     // Includes requests behind one that no target can take yet.
     for (const PoolQueue::Item &Each :
          Queue.takeIf([&](const QueuedRequest &Waiting) {
-           return Now >= waitDeadline(static_cast<const Exchange &>(Waiting));
+           const auto &Request = static_cast<const Exchange &>(Waiting);
+           return lacksKey(Request) || Now >= waitDeadline(Request);
          }))
-      Expired.push_back(std::static_pointer_cast<Exchange>(Each));
+      Unservable.push_back(std::static_pointer_cast<Exchange>(Each));
     Queue.offer(Now, m_TypicalServiceTime, [&](const PoolQueue::Item &Each) {
       const auto Request = std::static_pointer_cast<Exchange>(Each);
       if (Request->isFinished())
@@ -528,9 +533,10 @@
                                : PoolQueue::Verdict::Stop;
     });
   }
-  for (const ExchangePtr &Each : Expired)
+  for (const ExchangePtr &Each : Unservable)
     if (!Each->isFinished())
-      failRequest(Each, ErrorKind::AnswerLost, "no_room_in_time");
+      failRequest(Each, ErrorKind::AnswerLost,
+                  lacksKey(*Each) ? "key_missing" : "no_room_in_time");
 }
 
 void PoolDispatcher::requestFinished(const Exchange &Request, int Status,
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -120,6 +120,11 @@
   /// Sends a request, or queues it if an answer in time is expected, or ends
   /// it.
   void dispatchOrQueue(const ExchangePtr &Request);
+  /// True if the request has no key but the pool's targets own keys: the pool
+  /// had none when the request arrived. No target can serve it.
+  bool lacksKey(const Exchange &Request) const {
+    return m_Ownership && !Request.facts().m_Key;
+  }
   /// Target id of the key's owner; empty if keys don't matter or it is unknown.
   std::string ownerQueueId(const Exchange &Request) const;
   /// Counts a new request for its owner. False if it is refused because the
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -234,6 +234,70 @@
   }
 }
 
+TEST_SUITE("not-run") {
+  // Guards against looking up the owner of a key that the request doesn't have.
+  TEST_CASE(
+      "a request without a key is refused at once when its pool's targets "
+      "begin to own keys") {
+    KeyedBench Bench;
+    Bench.m_OrdersAreKeyed = false;
+    Bench.publish();
+    for (const char *Id : {"t1", "t2"})
+      Bench.m_Targets[Id]->m_Script = [](const std::string & /*Id*/) {
+        return Action::Hang;
+      };
+    for (int Index = 0; Index < 6; ++Index)
+      Bench.send("POST", "/write/1", "h" + std::to_string(Index), AmpleTime);
+    Bench.send("POST", "/write/1", "a", AmpleTime);
+    CHECK(!Bench.isAnswered("a"));
+    Bench.m_OrdersAreKeyed = true;
+    Bench.publish();
+    CHECK(Bench.isAnswered("a"));
+    CHECK(Bench.await("a").m_Status == 503);
+    CHECK(Bench.await("a").m_Fields.find("Retry-After"));
+    CHECK(Bench.runsOf("a") == 0);
+  }
+
+  TEST_CASE("a request without a key that a target did not run is refused when "
+            "the targets own keys by then") {
+    KeyedBench Bench;
+    Bench.m_OrdersAreKeyed = false;
+    Bench.publish();
+    bool Hangs = true;
+    for (const char *Id : {"t1", "t2"})
+      Bench.m_Targets[Id]->m_Script = [&Hangs](const std::string & /*Id*/) {
+        return Hangs ? Action::Hang : Action::Refuse;
+      };
+    Bench.send("POST", "/write/1", "a", AmpleTime);
+    REQUIRE(Bench.runUntil([&]() { return Bench.runsOf("a") == 1; }));
+    Bench.m_OrdersAreKeyed = true;
+    Bench.publish();
+    Hangs = false;
+    for (const char *Id : {"t1", "t2"})
+      Bench.m_Targets[Id]->answerHung();
+    CHECK(Bench.await("a").m_Status == 503);
+    CHECK(Bench.runsOf("a") == 0);
+  }
+
+  TEST_CASE("callers leave and deadlines pass while requests without a key are "
+            "in flight to targets that own keys") {
+    KeyedBench Bench;
+    Bench.m_OrdersAreKeyed = false;
+    Bench.publish();
+    for (const char *Id : {"t1", "t2"})
+      Bench.m_Targets[Id]->m_Script = [](const std::string & /*Id*/) {
+        return Action::Hang;
+      };
+    const auto Leaving = Bench.send("POST", "/write/1", "a", AmpleTime);
+    Bench.send("POST", "/write/1", "b", Milliseconds(300));
+    REQUIRE(Bench.runUntil([&]() { return Bench.runsOf("b") == 1; }));
+    Bench.m_OrdersAreKeyed = true;
+    Bench.publish();
+    Leaving->cancel();
+    CHECK(Bench.await("b").m_Status == 504);
+  }
+}
+
 TEST_SUITE("leaving-target") {
   TEST_CASE("an owner that says that it leaves serves its keys until they are "
             "moved") {
