A request is not sent twice on the same connection

Cause: an answer is matched to a send by the request's id, and a request that is sent again keeps its id. LinkPool hands out the connection used last, mostly the one that brought the refusal. A second copy of that refusal then was taken for the answer to the second send.

Ruled out: copies that reach other requests (their id differs, they are discarded), and a wrong "may have run" (the same sends without a copy end well).

Change: an exchange keeps the connections it was sent on, LinkPool::acquire() leaves them out. Nothing that arrives on another connection can be a copy of the former answer. This holds for every reason to send again.

Evidence: on the code before, "a late copy of a refusal does not answer the second send of a write" fails (503 with two attempts, two runs with three, for 503 and 421), so do the cases for an owner of keys and for a read whose failed or unsigned answer is copied. "... when another request used the connection meanwhile" passed before and pins that path.

--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -67,7 +67,8 @@
   ++m_SendCount;
   Target->load().noteSent(m_SentAt);
   Target->pace().noteSent(m_SentAt);
-  m_Link = Target->links().acquire();
+  m_Link = Target->links().acquire(m_UsedLinks);
+  m_UsedLinks.push_back(m_Link);
   m_Link->send(writeRequestHead(Forwarded), m_Body, m_Facts.m_Id,
                m_Request.m_Method != "HEAD", Milliseconds(0),
                [Self = shared_from_this(), Target](LinkResult Result,
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -147,6 +147,7 @@
   TargetNodePtr m_Target;
   std::shared_ptr<const std::string> m_Body;
   std::vector<std::string> m_TriedTargets;
+  LinkPool::UsedLinks m_UsedLinks;
   int m_SendCount = 0;
   int m_UnreachableCount = 0;
   bool m_MayHaveRun = false;
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -57,7 +57,8 @@
     /// Limits the bodies of all links that share it; null for no common limit.
     std::shared_ptr<ByteBudget> m_Budget;
     /// Name of the response field that repeats the request's id. Responses with
-    /// the id of another request are discarded. Empty: not checked.
+    /// the id of another request are discarded, so an id must be sent only once
+    /// on a connection; see LinkPool::acquire(). Empty: not checked.
     std::string m_RequestIdField;
   };
 
--- a/src/net/linkpool.cpp
+++ b/src/net/linkpool.cpp
@@ -5,6 +5,16 @@
 
 namespace monsoon {
 
+namespace {
+
+bool contains(const LinkPool::UsedLinks &Used, const HttpLink &Link) {
+  return std::any_of(Used.begin(), Used.end(), [&Link](const auto &Each) {
+    return Each.lock().get() == &Link;
+  });
+}
+
+} // namespace
+
 LinkPool::LinkPool(boost::asio::io_context &Loop, const Clock &Time,
                    HttpLink::Options Config)
     : m_Loop(Loop), m_Clock(Time), m_Config(std::move(Config)) {}
@@ -16,7 +26,7 @@
       Link->close();
 }
 
-std::shared_ptr<HttpLink> LinkPool::acquire() {
+std::shared_ptr<HttpLink> LinkPool::acquire(const UsedLinks &Used) {
   dropClosed();
   std::shared_ptr<HttpLink> Best;
   for (const auto &Link : m_Links) {
@@ -24,7 +34,8 @@
       continue;
     if (!Link->isUsable())
       Link->close();
-    else if (!Best || Link->idleSince() > Best->idleSince())
+    else if ((!Best || Link->idleSince() > Best->idleSince()) &&
+             !contains(Used, *Link))
       Best = Link;
   }
   if (Best)
--- a/src/net/linkpool.h
+++ b/src/net/linkpool.h
@@ -19,9 +19,15 @@
   LinkPool(const LinkPool &) = delete;
   LinkPool &operator=(const LinkPool &) = delete;
 
+  /// Connections that a request was sent on.
+  using UsedLinks = std::vector<std::weak_ptr<const HttpLink>>;
+
   /// Returns the most recently used idle connection, or else a new one, which
-  /// connects when a request is sent.
-  std::shared_ptr<HttpLink> acquire();
+  /// connects when a request is sent. Connections in Used are left out: a
+  /// request that is sent again under the same id has to name those it was sent
+  /// on before, since a late duplicate of an earlier response bears the id too
+  /// and would be taken for the response to the new send.
+  std::shared_ptr<HttpLink> acquire(const UsedLinks &Used = {});
 
   /// The number of connections, including closed ones not yet removed.
   size_t size() const { return m_Links.size(); }
--- a/tests/entry/dispatchertest.cpp
+++ b/tests/entry/dispatchertest.cpp
@@ -13,6 +13,13 @@
   return [Next](const std::string & /*Id*/) { return Next; };
 }
 
+/// Does First with the first request and answers the others.
+std::function<Action(const std::string &)> once(Action First) {
+  return [First, Count = 0](const std::string & /*Id*/) mutable {
+    return Count++ == 0 ? First : Action::Answer;
+  };
+}
+
 } // namespace
 
 TEST_CASE("before routing tables are loaded a request is refused as not run") {
@@ -72,6 +79,17 @@
     }
   }
 
+  TEST_CASE("a late copy of a failed answer does not answer the second send of "
+            "a read") {
+    for (const Action Next : {Action::FailLateCopy, Action::UnsignedLateCopy}) {
+      EntryBench Bench;
+      Bench.addTarget("t1").m_Script = once(Next);
+      Bench.publish([](Route::Builder &Each) { Each.maxAttempts(2); });
+      Bench.send("GET", "/read/1", "a", AmpleTime);
+      CHECK(Bench.await("a").m_Body == "t1 ran a");
+    }
+  }
+
   TEST_CASE("a target's own failure keeps its status and signature") {
     EntryBench Bench;
     Bench.addTarget("t1").m_Script = always(Action::Fail);
@@ -131,6 +149,41 @@
 }
 
 TEST_SUITE("not-run") {
+  // Guards against telling the caller "not run", or running a write again, on a
+  // late copy of the refusal of its first send.
+  TEST_CASE("a late copy of a refusal does not answer the second send of a "
+            "write") {
+    for (const Action Next :
+         {Action::RefuseLateCopy, Action::WrongTargetLateCopy})
+      for (const int Attempts : {2, 3}) {
+        CAPTURE(Attempts);
+        EntryBench Bench;
+        Bench.addTarget("t1").m_Script = once(Next);
+        Bench.publish(
+            [&](Route::Builder &Each) { Each.maxAttempts(Attempts); });
+        Bench.send("POST", "/write/1", "a", AmpleTime);
+        CHECK(Bench.await("a").m_Body == "t1 ran a");
+        Bench.runUntil([]() { return false; }, Milliseconds(100));
+        CHECK(Bench.runsOf("a") == 1);
+      }
+  }
+
+  TEST_CASE("a late copy of a refusal does not answer the second send when "
+            "another request used the connection meanwhile") {
+    EntryBench Bench;
+    ScriptedTarget &Target = Bench.addTarget("t1");
+    Target.m_Script = once(Action::WrongTargetLateCopy);
+    Bench.publish();
+    Bench.send("POST", "/write/1", "a", AmpleTime);
+    REQUIRE(Bench.runUntil([&]() { return Target.arrivals() == 1; }));
+    Bench.runUntil([]() { return false; }, Milliseconds(20));
+    Bench.send("POST", "/write/2", "b", AmpleTime);
+    CHECK(Bench.await("b").m_Body == "t1 ran b");
+    CHECK(Bench.await("a").m_Body == "t1 ran a");
+    CHECK(Bench.runsOf("a") == 1);
+    CHECK(Bench.runsOf("b") == 1);
+  }
+
   TEST_CASE("a write that every target refused is answered as not run") {
     EntryBench Bench;
     Bench.addTarget("t1").m_Script = always(Action::Refuse);
--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -88,16 +88,24 @@
 void ScriptedTarget::handle(RawPeer &Peer, Connection &State,
                             const std::string &Id) {
   ++m_Arrivals;
+  if (!State.m_LateCopy.empty())
+    Peer.send(std::exchange(State.m_LateCopy, ""));
   const Action Next = m_Script(Id);
+  const bool IsCopied =
+      Next == Action::RefuseLateCopy || Next == Action::WrongTargetLateCopy ||
+      Next == Action::FailLateCopy || Next == Action::UnsignedLateCopy;
   const auto Answer = [&](const std::string &Status, const std::string &More,
                           const std::string &Body) {
     const std::string Load =
         absl::StrCat(m_Load.empty() ? "" : "Load: " + m_Load + "\r\n",
                      m_IsLeaving ? "Leaving: 1\r\n" : "",
                      m_Limit.empty() ? "" : "Limit: " + m_Limit + "\r\n");
-    Peer.send(absl::StrCat("HTTP/1.1 ", Status, "\r\nId: ", Id,
-                           "\r\nKeep-Alive: timeout=10\r\n", Load, More,
-                           "Content-Length: ", Body.size(), "\r\n\r\n", Body));
+    const std::string Text = absl::StrCat(
+        "HTTP/1.1 ", Status, "\r\nId: ", Id, "\r\nKeep-Alive: timeout=10\r\n",
+        Load, More, "Content-Length: ", Body.size(), "\r\n\r\n", Body);
+    if (IsCopied)
+      State.m_LateCopy = Text;
+    Peer.send(Text);
   };
   const std::string Body = absl::StrCat(m_Id, " ran ", Id);
   switch (Next) {
@@ -123,16 +131,20 @@
     Peer.reset();
     return;
   case Action::Refuse:
+  case Action::RefuseLateCopy:
     Answer("503 Busy", "Not-Run: 1\r\n", "");
     return;
   case Action::WrongTarget:
+  case Action::WrongTargetLateCopy:
     Answer("421 Wrong", "", "");
     return;
   case Action::Fail:
+  case Action::FailLateCopy:
     ++m_Runs[Id];
     Answer("500 Failed", "Sign: yes\r\n", "failed");
     return;
   case Action::Unsigned:
+  case Action::UnsignedLateCopy:
     ++m_Runs[Id];
     Answer("200 OK", "", "spoiled");
     return;
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -46,7 +46,13 @@
     Unsigned,
     CutShort,
     /// Sends the same answer twice.
-    Twice
+    Twice,
+    /// As Refuse, WrongTarget, Fail and Unsigned, and sends the same answer
+    /// again when the next request arrives on the connection.
+    RefuseLateCopy,
+    WrongTargetLateCopy,
+    FailLateCopy,
+    UnsignedLateCopy
   };
 
   ScriptedTarget(boost::asio::io_context &Loop, std::string Id);
@@ -82,6 +88,8 @@
     bool m_Hung = false;
     bool m_Counted = false;
     std::string m_HungId;
+    /// Sent before the next request on the connection is handled.
+    std::string m_LateCopy;
   };
   void handle(RawPeer &Peer, Connection &State, const std::string &Id);
 
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -139,6 +139,22 @@
   CHECK(Bench.await("a").m_Body == "t2 ran a");
 }
 
+TEST_CASE("a late copy of an owner's refusal does not answer the second send") {
+  // Guards against refusing a write as not run although its owner runs it.
+  KeyedBench Bench;
+  for (const Action Next :
+       {Action::RefuseLateCopy, Action::WrongTargetLateCopy}) {
+    Bench.m_Targets["t1"]->m_Script =
+        [Next, Count = 0](const std::string & /*Id*/) mutable {
+          return Count++ == 0 ? Next : Action::Answer;
+        };
+    const std::string Id = std::to_string(static_cast<int>(Next));
+    Bench.send("POST", "/write/1", Id, AmpleTime, 5);
+    CHECK(Bench.await(Id).m_Body == "t1 ran " + Id);
+    CHECK(Bench.runsOf(Id) == 1);
+  }
+}
+
 TEST_SUITE("removed-pool") {
   // Guards against entry hosts that crash once a version of the tables removes
   // a pool whose targets own keys.
--- a/tests/entry/outcometest.cpp
+++ b/tests/entry/outcometest.cpp
@@ -21,10 +21,19 @@
   std::mt19937_64 Random(Seed);
   EntryBench Bench;
   const auto Script = [&Random](const std::string & /*Id*/) {
-    constexpr std::array<Action, 9> Faults = {
-        Action::Hang,     Action::RunAndReset, Action::Reset,
-        Action::Refuse,   Action::WrongTarget, Action::Fail,
-        Action::Unsigned, Action::CutShort,    Action::Twice};
+    constexpr std::array<Action, 13> Faults = {Action::Hang,
+                                               Action::RunAndReset,
+                                               Action::Reset,
+                                               Action::Refuse,
+                                               Action::WrongTarget,
+                                               Action::Fail,
+                                               Action::Unsigned,
+                                               Action::CutShort,
+                                               Action::Twice,
+                                               Action::RefuseLateCopy,
+                                               Action::FailLateCopy,
+                                               Action::WrongTargetLateCopy,
+                                               Action::UnsignedLateCopy};
     return Random() % 2 == 0 ? Action::Answer
                              : Faults[Random() % Faults.size()];
   };
--- a/tests/net/httplinktest.cpp
+++ b/tests/net/httplinktest.cpp
@@ -238,6 +238,21 @@
     CHECK(!Bench.m_Result.has_value());
   }
 
+  TEST_CASE("a request that is sent again gets a connection that it was not "
+            "sent on") {
+    LinkBench Bench;
+    LinkPool::UsedLinks Used;
+    const auto First = Bench.send("1");
+    Used.push_back(First);
+    Bench.peer().send(answer("1", ""));
+    CHECK(Bench.result() == LinkResult::Answered);
+    const auto Second = Bench.m_Links.acquire(Used);
+    CHECK(Second != First);
+    CHECK(Bench.m_Links.acquire() == First);
+    Used.push_back(Second);
+    CHECK(Bench.m_Links.acquire(Used) != Second);
+  }
+
   TEST_CASE("a connection is not used shortly before the peer's idle timeout") {
     LinkBench Bench;
     Bench.send("1");
