--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -92,6 +92,16 @@
                   .build());
   }
 
+  /// Sends requests that hang to an owner until it is full, and one more.
+  void queueAtOwner(const std::string &Id) {
+    ScriptedTarget &Owner = *m_Targets["t1"];
+    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
+    for (int Index = 0; Index < 4; ++Index)
+      send("POST", "/write/1", "h" + std::to_string(Index), AmpleTime, 5);
+    send("POST", "/write/1", Id, AmpleTime, 5);
+    REQUIRE(runUntil([&]() { return Owner.arrivals() == 4; }));
+  }
+
   TableLog m_Log;
   NoGrants m_NoGrants;
   NoLease m_NoLease;
@@ -183,11 +193,7 @@
   TEST_CASE("a queued request is served after its pool was removed") {
     KeyedBench Bench;
     ScriptedTarget &Owner = *Bench.m_Targets["t1"];
-    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
-    for (int Index = 0; Index < 4; ++Index)
-      Bench.send("POST", "/write/1", "h" + std::to_string(Index), AmpleTime, 5);
-    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
-    REQUIRE(Bench.runUntil([&]() { return Owner.arrivals() == 4; }));
+    Bench.queueAtOwner("a");
     Bench.publishNothing();
     Owner.m_Script = [](const std::string & /*Id*/) { return Action::Answer; };
     Owner.answerHung();
@@ -238,12 +244,7 @@
   TEST_CASE("a queued request is served after its pool's targets own keys no "
             "longer") {
     KeyedBench Bench;
-    ScriptedTarget &Owner = *Bench.m_Targets["t1"];
-    Owner.m_Script = [](const std::string & /*Id*/) { return Action::Hang; };
-    for (int Index = 0; Index < 4; ++Index)
-      Bench.send("POST", "/write/1", "h" + std::to_string(Index), AmpleTime, 5);
-    Bench.send("POST", "/write/1", "a", AmpleTime, 5);
-    REQUIRE(Bench.runUntil([&]() { return Owner.arrivals() == 4; }));
+    Bench.queueAtOwner("a");
     Bench.m_OrdersAreKeyed = false;
     Bench.publish();
     CHECK(Bench.await("a").m_Body == "t2 ran a");
