Removed pools: tests of a key that moves and of a late read; what the assigner does

Two more related paths of the removed keyed pool: a queued request follows its key to a new owner, since the assigner still reads its topic while it is used, and a read that ends after the pool was dropped does nothing. No change of logic.

--- a/src/entry/ownershipmanager.h
+++ b/src/entry/ownershipmanager.h
@@ -17,8 +17,8 @@
 /// Runs one RangeAssigner for each pool whose targets own keys, passes targets,
 /// load and gossip on to them and collects what they have for the peers.
 ///
-/// Assigners are shared with those who route by them. That of a pool that was
-/// removed decides nothing any more, but its table remains readable.
+/// Assigners are shared with those who route by them. That of a removed pool
+/// decides nothing any more, but goes on reading its table while it is in use.
 class OwnershipManager {
 public:
   OwnershipManager(std::string Host, AssignerTimes Times,
--- a/tests/entry/keyedpooltest.cpp
+++ b/tests/entry/keyedpooltest.cpp
@@ -36,6 +36,7 @@
     if (m_Reader)
       std::exchange(m_Reader, nullptr)(page());
   }
+  bool hasReader() const { return m_Reader != nullptr; }
 
 private:
   KeyedPage page() const {
@@ -200,6 +201,26 @@
     CHECK(Bench.await("a").m_Body == "t1 ran a");
   }
 
+  TEST_CASE("a queued request of a removed pool follows its key to a new "
+            "owner") {
+    KeyedBench Bench;
+    Bench.queueAtOwner("a");
+    Bench.publishNothing();
+    Bench.assign("t2", "t2");
+    CHECK(Bench.await("a").m_Body == "t2 ran a");
+  }
+
+  TEST_CASE("a read of the owners that ends after the pool was dropped has no "
+            "effect") {
+    KeyedBench Bench;
+    REQUIRE(Bench.m_Log.hasReader());
+    Bench.publishNothing();
+    Bench.m_Dispatcher->tick();
+    REQUIRE(!Bench.m_Dispatcher->findPool("orders"));
+    Bench.assign("t2", "t2");
+    CHECK(!Bench.m_Log.hasReader());
+  }
+
   TEST_CASE("a caller leaves, and a deadline passes, after the pool was "
             "removed") {
     KeyedBench Bench;
