What a host knows of its configuration, and how late it hears of it

- Each message between hosts carries its sender's clock and echoes the receiver's, by which the receiver bounds how long the message was on its way (TransitTimer).
Nothing uses the bound yet but the metrics and the event gossip_late.
A relay answers hosts of other domains that announce their progress to it, since they get no echo otherwise.
- Reports name the highest version that a host has applied or heard of.
- ConfigCurrency keeps version applied, version known and the age of that; the event config_state and each request line show them. 404 and successes by a version that is not confirmed get a line.
- Metrics of the host itself: event loop, ages of configuration, membership and gossip, delay of gossip, calls to the log, bytes of the link by kind.

New setting config_apply_ms.

--- a/src/codec/gatewaysettingscodec.cpp
+++ b/src/codec/gatewaysettingscodec.cpp
@@ -70,6 +70,9 @@
       std::chrono::seconds(Reader.number("retry_window_s", 1, 3600, 10));
   Result.m_LongestHold = Reader.milliseconds(
       "longest_hold_ms", 100, MaxMilliseconds, Result.m_LongestHold.count());
+  Result.m_ConfigApplyLimit =
+      Reader.milliseconds("config_apply_ms", 100, MaxMilliseconds,
+                          Result.m_ConfigApplyLimit.count());
   Result.m_StopLimit =
       std::chrono::seconds(Reader.number("stop_limit_s", 1, 3600, 6));
   Result.m_StrictRevocation =
--- a/src/codec/hostreportcodec.cpp
+++ b/src/codec/hostreportcodec.cpp
@@ -3,6 +3,7 @@
 #include "codec/jsontext.h"
 
 #include "absl/strings/escaping.h"
+#include "absl/strings/str_cat.h"
 
 #include <algorithm>
 
@@ -13,6 +14,7 @@
 const Failure MalformedReport{ErrorKind::RecordUnreadable,
                               "the report of an entry host is malformed"};
 
+constexpr const char *StampField = "x";
 /// More than a host can have of anything that is counted.
 constexpr int MaxReportedCount = 1'000'000;
 
@@ -208,6 +210,21 @@
     Value["l"][Id] = Json::Int64(Incarnation);
   if (!Report.m_RelayedTopics.empty())
     Value["u"] = encodeTopics(Report.m_RelayedTopics);
+  if (Report.m_ConfigVersion > 0)
+    Value["v"] = Json::Int64(Report.m_ConfigVersion);
+}
+
+bool decodeStamp(const Json::Value &Row, MessageStamp &Stamp) {
+  if (!Row.isArray() || Row.empty() || !Row[0].isInt64())
+    return false;
+  Stamp.m_SentAt = Milliseconds(Row[0].asInt64());
+  if (Row.size() == 1)
+    return true;
+  if (Row.size() != 3 || !Row[1].isInt64() || !Row[2].isInt64())
+    return false;
+  Stamp.m_Echo = Milliseconds(Row[1].asInt64());
+  Stamp.m_EchoHeldFor = Milliseconds(Row[2].asInt64());
+  return true;
 }
 
 bool decodeFormerOwners(const Json::Value &Value,
@@ -272,6 +289,14 @@
   if (Value.isMember("l") &&
       !decodeLeavingTargets(Value["l"], Report.m_LeavingTargets))
     return false;
+  if (Value.isMember("v")) {
+    if (!Value["v"].isInt64())
+      return false;
+    Report.m_ConfigVersion = Value["v"].asInt64();
+  }
+  if (Value.isMember(StampField) &&
+      !decodeStamp(Value[StampField], Report.m_Stamp.emplace()))
+    return false;
   return !Value.isMember("u") ||
          decodeTopics(Value["u"], Report.m_RelayedTopics);
 }
@@ -309,6 +334,17 @@
   return writeJson(Value);
 }
 
+std::string encodeStamped(const std::string &Encoded,
+                          const MessageStamp &Stamp) {
+  std::string Result =
+      absl::StrCat("{\"", StampField, "\":[", Stamp.m_SentAt.count());
+  if (Stamp.m_Echo)
+    absl::StrAppend(&Result, ",", Stamp.m_Echo->count(), ",",
+                    Stamp.m_EchoHeldFor.count());
+  absl::StrAppend(&Result, "],", Encoded.substr(1));
+  return Result;
+}
+
 Outcome<HostReport> decodeHostReport(const std::string &Text) {
   const auto Parsed = parseJson(Text, "report", ErrorKind::RecordUnreadable);
   if (!Parsed)
--- a/src/core/gatewaysettings.h
+++ b/src/core/gatewaysettings.h
@@ -27,6 +27,9 @@
   Milliseconds m_RetryWindow{10'000};
   /// Longest hold time of a grant of keys that a target accepts.
   Milliseconds m_LongestHold{10'000};
+  /// Time after its acknowledgement by the log in which a version of the
+  /// configuration has to be in force on all hosts.
+  Milliseconds m_ConfigApplyLimit{2000};
   /// Time from a stop signal to the exit of the process.
   Milliseconds m_StopLimit{6000};
   /// True if requests that need a customer's key are refused once the
--- a/src/core/hostreport.h
+++ b/src/core/hostreport.h
@@ -64,6 +64,24 @@
   }
 };
 
+/// Clock readings that two hosts exchange with their messages, so that the
+/// receiver can bound how long a message was on its way; see TransitTimer.
+struct MessageStamp {
+  /// Reading of the sender's clock when it sent the message. Only the sender
+  /// can interpret it.
+  Milliseconds m_SentAt{0};
+  /// m_SentAt of the newest message that the sender has received from the
+  /// receiver of this one; empty if there is none.
+  std::optional<Milliseconds> m_Echo;
+  /// Time between the receipt of that message and the sending of this one.
+  Milliseconds m_EchoHeldFor{0};
+
+  auto tie() const { return std::tie(m_SentAt, m_Echo, m_EchoHeldFor); }
+  friend bool operator==(const MessageStamp &A, const MessageStamp &B) {
+    return A.tie() == B.tie();
+  }
+};
+
 /// The members of the group of entry hosts in one generation.
 struct MemberList {
   uint64_t m_Generation = 0;
@@ -161,6 +179,11 @@
   std::string m_Host;
   /// Increases with each report of the host; older reports are dropped.
   uint64_t m_Sequence = 0;
+  /// Differs between the receivers of one report; added by encodeStamped().
+  std::optional<MessageStamp> m_Stamp;
+  /// Highest version of the configuration that this host or, as far as it has
+  /// heard, another one has applied; 0 if none.
+  int64_t m_ConfigVersion = 0;
   /// True for an extra report between two regular ones. It has no load figures
   /// (m_InFlight, m_Waiting, m_CustomerDemand, m_KeyCounts), only topics, owner
   /// updates and ended terms.
@@ -201,7 +224,7 @@
                     m_CustomerDemand, m_KeyCounts, m_Topics, m_OwnerUpdates,
                     m_EndedTerms, m_FormerOwners, m_TopicRecords, m_Members,
                     m_SummedHosts, m_OtherDomains, m_RelayedTopics,
-                    m_LeavingTargets);
+                    m_LeavingTargets, m_Stamp, m_ConfigVersion);
   }
   friend bool operator==(const HostReport &A, const HostReport &B) {
     return A.tie() == B.tie();
--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -84,9 +84,20 @@
   return It->second.next();
 }
 
+ConfigView Dispatcher::configView() const {
+  if (m_Parts.m_Currency)
+    return m_Parts.m_Currency->view(m_Parts.m_Clock.now());
+  ConfigView View;
+  View.m_Standing =
+      m_Routes ? ConfigStanding::Confirmed : ConfigStanding::Missing;
+  View.m_Version = View.m_KnownVersion = m_Routes ? m_Routes->version() : 0;
+  return View;
+}
+
 Dispatcher::Match Dispatcher::match(const HttpRequest &Request,
                                     const std::string &RequestId) const {
   Match Result;
+  Result.m_Config = configView();
   if (!m_Routes) {
     Result.m_Refusal = errorAnswer(ErrorKind::NoConfiguration, RequestId,
                                    "routing tables are not loaded yet",
@@ -97,39 +108,39 @@
   const Route *MatchedRoute =
       Host ? m_Routes->match(*Host, Request.path()) : nullptr;
   if (!MatchedRoute) {
+    Result.m_Error = ErrorKind::RouteUnknown;
+    Result.m_Reason = "no_route";
     Result.m_Refusal = errorAnswer(ErrorKind::RouteUnknown, RequestId,
                                    "no route for this host and path", {});
     return Result;
   }
-  if (m_Customers)
-    return authenticate(Request, RequestId, *MatchedRoute);
   Result.m_Route = MatchedRoute;
+  if (m_Customers)
+    authenticate(Request, RequestId, Result);
   return Result;
 }
 
-Dispatcher::Match Dispatcher::authenticate(const HttpRequest &Request,
-                                           const std::string &RequestId,
-                                           const Route &MatchedRoute) const {
-  Match Result;
-  Result.m_Route = &MatchedRoute;
+void Dispatcher::authenticate(const HttpRequest &Request,
+                              const std::string &RequestId,
+                              Match &Result) const {
   Result.m_Customer.m_Table = m_Customers;
   const Credential Named = m_Dialect.readCredential(Request.m_Fields);
   if (Named.m_State == CredentialState::Present) {
     Result.m_Customer.m_Key = KeyDigest::of(Named.m_Key);
     Result.m_Customer.m_Customer = m_Customers->find(*Result.m_Customer.m_Key);
   }
-  if (MatchedRoute.isPublic())
-    return Result;
+  if (Result.m_Route->isPublic())
+    return;
   if (m_Parts.m_Clock.now() >= m_ConfirmedUntil) {
     Result.m_Error = ErrorKind::ViewStale;
     Result.m_Reason = "config_unconfirmed";
     Result.m_Refusal = errorAnswer(ErrorKind::ViewStale, RequestId,
                                    "the keys of the customers may be outdated",
                                    NoConfigurationRetryAfter);
-    return Result;
+    return;
   }
   if (Result.m_Customer.m_Customer)
-    return Result;
+    return;
   Result.m_Error = ErrorKind::CustomerUnknown;
   Result.m_Reason = Named.m_State == CredentialState::Present ? "key_unknown"
                     : Named.m_State == CredentialState::Missing
@@ -137,7 +148,6 @@
                         : "key_malformed";
   Result.m_Refusal =
       errorAnswer(ErrorKind::CustomerUnknown, RequestId, Result.m_Reason, {});
-  return Result;
 }
 
 void Dispatcher::shed(Match &Found, const std::string &RequestId) const {
@@ -181,12 +191,15 @@
     return;
   RequestReport Report;
   Report.m_RequestId = RequestId;
-  Report.m_Route = Found.m_Route->name();
-  Report.m_Class = Found.m_Route->trafficClass();
+  if (Found.m_Route) {
+    Report.m_Route = Found.m_Route->name();
+    Report.m_Class = Found.m_Route->trafficClass();
+  }
   Report.m_Status = Found.m_Refusal->m_Status;
   Report.m_Error = Found.m_Error;
   Report.m_Reason = Found.m_Reason;
-  Report.m_ConfigVersion = m_Routes->version();
+  Report.m_ConfigVersion = Found.m_Config.m_Version;
+  Report.m_Config = Found.m_Config;
   if (Found.m_Customer.m_Customer)
     Report.m_Tenant = Found.m_Customer.m_Customer->m_Name;
   m_Parts.m_Metrics.requestDone(Report);
@@ -243,6 +256,7 @@
       m_Loop, m_Parts.m_Clock, m_Dialect, m_Routes, *Found.m_Route, Pool,
       std::move(Request), std::move(Facts), std::move(Done));
   Started->setCustomer(std::move(Found.m_Customer));
+  Started->setConfigView(Found.m_Config);
   PoolFound->second->submit(Started);
   armDispatchTimer();
   if (Started->isFinished())
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -74,11 +74,15 @@
     const char *m_Reason = "";
     const Route *m_Route = nullptr;
     RequestCustomer m_Customer;
+    ConfigView m_Config;
   };
+  /// What this host knows of its configuration now.
+  ConfigView configView() const;
   Match match(const HttpRequest &Request, const std::string &RequestId) const;
-  /// Finds the customer by the key in the request.
-  Match authenticate(const HttpRequest &Request, const std::string &RequestId,
-                     const Route &MatchedRoute) const;
+  /// Finds the customer by the key in the request; sets the refusal if there is
+  /// none.
+  void authenticate(const HttpRequest &Request, const std::string &RequestId,
+                    Match &Result) const;
   /// Sets the refusal if this host is overloaded and sheds the request.
   void shed(Match &Found, const std::string &RequestId) const;
   /// Counts the request towards its customer's allowance; sets the refusal if
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -1,6 +1,7 @@
 #ifndef MONSOON_ENTRY_EXCHANGE_H
 #define MONSOON_ENTRY_EXCHANGE_H
 
+#include "core/configview.h"
 #include "core/routeindex.h"
 #include "customer/customertable.h"
 #include "entry/targetnode.h"
@@ -86,6 +87,9 @@
   const RequestCustomer &customer() const { return m_Customer; }
   void setCustomer(RequestCustomer Value) { m_Customer = std::move(Value); }
   int64_t configVersion() const { return m_Routes->version(); }
+  /// What this host knew of its configuration when the request arrived.
+  const ConfigView &configView() const { return m_ConfigView; }
+  void setConfigView(const ConfigView &Value) { m_ConfigView = Value; }
   bool isIdempotent() const { return m_Route.isIdempotent(); }
   /// Moment of arrival at this host.
   TimePoint arrivedAt() const { return m_Arrived; }
@@ -156,6 +160,7 @@
   HttpRequest m_Request;
   const RequestMetadata m_Facts;
   RequestCustomer m_Customer;
+  ConfigView m_ConfigView;
   RequestHandler::Reply m_Reply;
   Listener *m_Listener = nullptr;
 
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -649,6 +649,7 @@
   Report.m_Status = Status;
   Report.m_Reason = Reason;
   Report.m_ConfigVersion = Request.configVersion();
+  Report.m_Config = Request.configView();
   Report.m_Attempts = Request.sendCount();
   const TimePoint Now = m_Parts.m_Clock.now();
   Report.m_Elapsed = Now - Request.arrivedAt();
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -6,6 +6,7 @@
 #include "entry/exchange.h"
 #include "entry/targetregistry.h"
 #include "keyowner/rangeassigner.h"
+#include "membership/configcurrency.h"
 #include "membership/hostmembership.h"
 #include "policy/arrivalshare.h"
 #include "policy/demandgate.h"
@@ -74,6 +75,8 @@
     AllowanceGate *m_Allowances = nullptr;
     /// Null if this host never counts as late.
     HostLoad *m_HostLoad = nullptr;
+    /// Null if the configuration always counts as the one in force.
+    const ConfigCurrency *m_Currency = nullptr;
   };
 
   PoolDispatcher(std::string Name, const Parts &Shared);
--- a/src/membership/loadgossip.cpp
+++ b/src/membership/loadgossip.cpp
@@ -57,7 +57,8 @@
 LoadGossip::LoadGossip(std::string Host, PeerChannel &Channel,
                        const Clock &Time, Source WriteReport, Sink OnReport)
     : m_Host(std::move(Host)), m_Channel(Channel), m_Clock(Time),
-      m_Source(std::move(WriteReport)), m_Sink(std::move(OnReport)) {
+      m_Source(std::move(WriteReport)), m_Sink(std::move(OnReport)),
+      m_Transit(Time) {
   m_Channel.onMessage([this](const std::string &Message) { receive(Message); });
 }
 
@@ -76,18 +77,56 @@
         !State.m_Report.m_CustomerDemand.empty())
       m_FormerDemand.emplace_back(State.m_ReceivedAt,
                                   State.m_Report.m_CustomerDemand);
-  for (auto It = m_PeerStates.begin(); It != m_PeerStates.end();)
-    It = m_Topology.isKnown(It->first) ? std::next(It) : m_PeerStates.erase(It);
+  for (auto It = m_PeerStates.begin(); It != m_PeerStates.end();) {
+    if (m_Topology.isKnown(It->first)) {
+      ++It;
+      continue;
+    }
+    m_Transit.forget(It->first);
+    It = m_PeerStates.erase(It);
+  }
 }
 
 void LoadGossip::send(const std::set<std::string> &Hosts,
                       const HostReport &Report) {
   if (Hosts.empty())
     return;
-  const std::string Message = encodeHostReport(Report);
-  for (const std::string &Each : Hosts)
+  const std::string Encoded = encodeHostReport(Report);
+  for (const std::string &Each : Hosts) {
+    const std::string Message =
+        encodeStamped(Encoded, m_Transit.stampFor(Each));
     m_Channel.send(m_Topology.addressOf(Each), Message);
-  m_SendableBytes -= static_cast<double>(Message.size() * Hosts.size());
+    m_SendableBytes -= static_cast<double>(Message.size());
+  }
+}
+
+std::set<std::string> LoadGossip::unansweredSenders() const {
+  std::set<std::string> Result;
+  const std::set<std::string> Answered = distantListeners();
+  for (const auto &[Host, State] : m_PeerStates)
+    if (!m_Topology.isNeighbor(Host) && Answered.count(Host) == 0 &&
+        m_Clock.now() - State.m_TopicsAt < SummaryLifetime)
+      Result.insert(Host);
+  return Result;
+}
+
+GossipDelay LoadGossip::takeDelay() {
+  GossipDelay Result = m_Delay;
+  m_Delay.m_Longest = {};
+  m_Delay.m_LongestFrom.clear();
+  return Result;
+}
+
+void LoadGossip::noteDelay(const std::string &Peer,
+                           std::optional<Duration> Transit) {
+  m_Delay.m_HeardAt = m_Clock.now();
+  if (!Transit)
+    return;
+  m_Delay.m_Last = *Transit;
+  if (*Transit <= m_Delay.m_Longest)
+    return;
+  m_Delay.m_Longest = *Transit;
+  m_Delay.m_LongestFrom = Peer;
 }
 
 bool LoadGossip::mayTransmit(TimePoint Now) {
@@ -116,6 +155,13 @@
   Report.m_Sequence = ++m_Sequence;
   if (!m_Topology.isMesh() && (hasNews(Report) || (m_IsAnnouncing && !Brief)))
     send(distantListeners(), withoutLoad(Report));
+  if (m_Topology.isRelay() && !Brief) {
+    HostReport Answer = withoutLoad(Report);
+    Answer.m_OwnerUpdates.clear();
+    Answer.m_TopicRecords.clear();
+    Answer.m_Members.reset();
+    send(unansweredSenders(), Answer);
+  }
   if (m_Topology.isRelay())
     addKeyCounts(m_DomainKeyCounts, Report);
   const bool IsSummaryDue =
@@ -137,6 +183,7 @@
   Sum.m_CustomerDemand = Own.m_CustomerDemand;
   addFormerDemand(Sum.m_CustomerDemand);
   Sum.m_Topics = Own.m_Topics;
+  Sum.m_ConfigVersion = Own.m_ConfigVersion;
   for (const std::string &Each : m_Topology.neighbors()) {
     const auto Found = m_PeerStates.find(Each);
     if (Found == m_PeerStates.end())
@@ -194,6 +241,10 @@
     return;
   HostReport &Report = Decoded.value();
   PeerState &Last = m_PeerStates[Report.m_Host];
+  std::optional<Duration> Transit;
+  if (Report.m_Stamp)
+    Transit = m_Transit.noteReceived(Report.m_Host, *Report.m_Stamp);
+  noteDelay(Report.m_Host, Transit);
   // Delayed and duplicate reports are not newer than the last one.
   if (Report.m_Sequence <= Last.m_Sequence)
     return;
--- a/src/membership/loadgossip.h
+++ b/src/membership/loadgossip.h
@@ -3,6 +3,7 @@
 
 #include "core/hostreport.h"
 #include "membership/gossiptopology.h"
+#include "membership/transittimer.h"
 #include "ports/clock.h"
 #include "ports/peerchannel.h"
 
@@ -27,6 +28,19 @@
   double m_Coverage = 0;
 };
 
+/// How late the messages of peers reach this host.
+struct GossipDelay {
+  /// When the newest message of any peer came; unset before the first.
+  TimePoint m_HeardAt{};
+  /// Bound of the time for which the last message was on its way, as far as
+  /// one is known.
+  Duration m_Last{};
+  /// The longest such time since the last call of takeDelay().
+  Duration m_Longest{};
+  /// The peer whose message that was.
+  std::string m_LongestFrom;
+};
+
 /// Gossip between the entry hosts: each sends a report to its neighbors every
 /// 200 ms; a report is used for 700 ms. Reports influence the choice of targets
 /// and when the log is read, and carry no guarantees, so a lost report costs
@@ -79,6 +93,10 @@
   /// Load of the peers, from their recent reports.
   PeerLoad peerLoad() const;
 
+  const GossipDelay &delay() const { return m_Delay; }
+  /// Returns the delay of messages and starts a new maximum.
+  GossipDelay takeDelay();
+
 private:
   /// Updates the bytes that may be sent now; false if there are none.
   bool mayTransmit(TimePoint Now);
@@ -122,6 +140,10 @@
   bool isActiveRelay() const;
   /// Hosts of other domains that get this host's news.
   std::set<std::string> distantListeners() const;
+  /// Hosts of other domains that send to this relay and get nothing from it.
+  /// They need its stamps: without an echo, what they send has no age.
+  std::set<std::string> unansweredSenders() const;
+  void noteDelay(const std::string &Peer, std::optional<Duration> Transit);
 
   const std::string m_Host;
   PeerChannel &m_Channel;
@@ -134,6 +156,8 @@
   /// reported: they may still use their shares.
   std::vector<std::pair<TimePoint, std::map<std::string, int>>> m_FormerDemand;
   std::set<std::string> m_LeaseHolders;
+  TransitTimer m_Transit;
+  GossipDelay m_Delay;
   uint64_t m_Sequence = 0;
   TimePoint m_NextReport{};
   TimePoint m_NextSummary{};
--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -77,6 +77,14 @@
       std::chrono::duration_cast<Milliseconds>(m_Clock.now() - m_OwnReadAt)};
 }
 
+const char *TopicFollower::activity() const {
+  if (m_IsReading)
+    return "reading";
+  if (m_FailedReads > 0)
+    return "retrying";
+  return m_PeersChanged > m_End ? "awaiting_gossip" : "idle";
+}
+
 void TopicFollower::requestFullRead() { m_NeedsFullRead = true; }
 
 void TopicFollower::skipTo(LogOffset End) {
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -76,6 +76,11 @@
   /// Makes the next read a full one.
   void requestFullRead();
 
+  /// What the follower does about the records that it doesn't know, for logs:
+  /// "reading", "retrying" after failed reads, "awaiting_gossip" when a peer
+  /// has read more, or "idle".
+  const char *activity() const;
+
   /// True once a full read has succeeded.
   bool isSynced() const { return m_IsSynced; }
   /// Time at which this host last knew the topic completely.
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -3,10 +3,12 @@
 #include "core/keyspace.h"
 #include "entry/dispatcher.h"
 #include "entry/ownershipmanager.h"
+#include "membership/configcurrency.h"
 #include "membership/configrevision.h"
 #include "membership/evacuateddomains.h"
 #include "membership/loadgossip.h"
 #include "membership/targetdirectory.h"
+#include "monsoonstand/hostmetrics.h"
 #include "monsoonstand/statushandler.h"
 #include "net/acceptor.h"
 #include "net/address.h"
@@ -23,7 +25,6 @@
 
 #include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
-#include "absl/strings/str_replace.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -53,12 +54,14 @@
 constexpr double BytesPerMegabit = 1e6 / 8;
 /// One host in this number may leave the balancer's rotation while it is full.
 constexpr size_t LeavingHostsDivisor = 3;
-/// Customers whose allowances the metrics show.
-constexpr size_t MaxCustomerMetrics = 200;
 /// Interval of the tick that runs all periodic work; resolution of its timing.
 constexpr Milliseconds TickInterval{50};
 /// Lateness of a tick from which on it is logged.
 constexpr Milliseconds LoggedLateness{250};
+/// Interval at which the delay of messages of peers is checked, and the delay
+/// from which on it is logged.
+constexpr Milliseconds DelayCheckInterval{1000};
+constexpr Milliseconds LoggedGossipDelay{1000};
 /// The same when reports reach most hosts through relays, which adds up to two
 /// report intervals.
 constexpr Milliseconds RelayedStandbyReadDelay{1300};
@@ -137,6 +140,10 @@
   return Peer;
 }
 
+std::string millisecondsText(Duration Value) {
+  return absl::StrCat(std::chrono::duration_cast<Milliseconds>(Value).count());
+}
+
 AssignerTimes assignerTimes(const GatewaySettings &Config) {
   AssignerTimes Times;
   Times.m_LongestHold = Config.m_LongestHold;
@@ -162,7 +169,7 @@
             m_Time,
             [this](const Endpoint &Address) { return makeLinks(Address); },
             m_Events),
-        m_HostId(newHostId(Config)),
+        m_Currency(Config.m_ConfigApplyLimit), m_HostId(newHostId(Config)),
         m_Hosts(m_HostId, m_Store, m_Time, m_Events),
         m_Ownership(m_HostId, assignerTimes(Config),
                     {m_Time, m_Store, m_Grants, m_Hosts, m_Events}, m_Targets),
@@ -170,7 +177,7 @@
             m_Loop, m_Dialect,
             {m_Time, m_Targets, m_Hosts, m_Metrics, Config.m_Host,
              Config.m_FailureDomain, sharedLimits(Config), &m_Allowances,
-             &m_HostLoad},
+             &m_HostLoad, &m_Currency},
             [this](const std::string &Pool) { return m_Ownership.find(Pool); }),
         m_PeerChannel(m_Loop),
         m_LoadGossip(
@@ -198,7 +205,8 @@
         }),
         m_MetricsHandler([this]() {
           return StatusHandler::Status{
-              200, absl::StrCat(m_Metrics.render(), renderLimits())};
+              200,
+              absl::StrCat(m_Metrics.render(), renderHostFigures(figures()))};
         }),
         m_Callers(m_Loop, m_Time, m_Dispatcher),
         m_ReadinessServer(m_Loop, m_Time, m_ReadinessHandler),
@@ -244,6 +252,7 @@
     Options.m_Address = Address;
     Options.m_RequestIdField = std::string(m_Dialect.requestIdField());
     Options.m_Budget = m_ResponseBudget;
+    Options.m_Traffic = m_TargetTraffic;
     return std::make_unique<LinkPool>(m_Loop, m_Time, Options);
   }
 
@@ -269,32 +278,31 @@
     return Before < InDomain / LeavingHostsDivisor;
   }
 
-  /// Metrics of this host's own load and of the customers' allowances.
-  std::string renderLimits() const {
+  /// Figures of this host for the metrics. Starts new maxima.
+  HostFigures figures() {
     const TimePoint Now = m_Time.now();
-    std::string Text =
-        absl::StrCat("# TYPE monsoon_host_load_level gauge\n"
-                     "monsoon_host_load_level ",
-                     static_cast<int>(m_HostLoad.level()),
-                     "\n# TYPE monsoon_host_admitted_fraction gauge\n"
-                     "monsoon_host_admitted_fraction ",
-                     m_HostLoad.admittedFraction(), "\n");
-    std::vector<AllowanceUse> Used = m_Allowances.use(Now);
-    if (Used.size() > MaxCustomerMetrics)
-      Used.resize(MaxCustomerMetrics);
-    for (const AllowanceUse &Each : Used) {
-      const std::string Label =
-          absl::StrCat("{customer=\"",
-                       absl::StrReplaceAll(Each.m_Customer,
-                                           {{"\\", "\\\\"}, {"\"", "\\\""}}),
-                       "\"} ");
-      absl::StrAppend(&Text, "monsoon_allowance_admitted_total", Label,
-                      Each.m_Admitted, "\nmonsoon_allowance_refused_total",
-                      Label, Each.m_Refused,
-                      "\nmonsoon_allowance_share_per_second", Label,
-                      Each.m_SharePerSecond, "\n");
-    }
-    return Text;
+    const GossipDelay Delay = m_LoadGossip.takeDelay();
+    HostFigures Result;
+    Result.m_Level = m_HostLoad.level();
+    Result.m_AdmittedFraction = m_HostLoad.admittedFraction();
+    Result.m_LoopLate = m_HostLoad.lateness(Now);
+    Result.m_LongestLoopLate = std::max(
+        std::exchange(m_LongestLateness, Duration{}), Result.m_LoopLate);
+    Result.m_Config = m_Currency.view(Now);
+    Result.m_NewerKnownFor = m_Currency.newerKnownFor(Now);
+    Result.m_MembershipAge = Now - m_MembershipTopic.upToDateAt();
+    Result.m_GossipAge =
+        Delay.m_HeardAt == TimePoint{} ? Duration(-1) : Now - Delay.m_HeardAt;
+    Result.m_GossipDelay = Delay.m_Last;
+    Result.m_LongestGossipDelay = std::max(
+        std::exchange(m_LongestGossipDelay, Duration{}), Delay.m_Longest);
+    Result.m_LogCalls = m_Store.calls();
+    Result.m_Traffic = {{"callers", m_Callers.sessions().traffic()},
+                        {"targets", *m_TargetTraffic},
+                        {"log", m_Store.traffic()},
+                        {"gossip", m_PeerChannel.traffic()}};
+    Result.m_Allowances = m_Allowances.use(Now);
+    return Result;
   }
 
   /// Applies records of the operators' topic: the config and the evacuated
@@ -346,11 +354,14 @@
     m_Events.event(
         Severity::Info, "config_adopted",
         {{"version", absl::StrCat(Routes->version())},
+         {"former", absl::StrCat(m_Currency.view(m_Time.now()).m_Version)},
+         {"known_ms", millisecondsText(m_Currency.newerKnownFor(m_Time.now()))},
          {"read_here", m_OperatorTopic.isPublishing() ? "yes" : "no"},
          {"bytes", absl::StrCat(Text.size())},
          {"routes", absl::StrCat(Routes->tables().routes().size())},
          {"customers",
           absl::StrCat(Customers ? Customers->customers().size() : 0)}});
+    m_Currency.noteApplied(Routes->version());
     m_Ownership.setRoutes(*Routes);
     m_Hosts.setLeases(m_Ownership.pools());
     m_Dispatcher.setRoutes(Routes, Customers);
@@ -418,33 +429,57 @@
   void noteTick(TimePoint Now) {
     const Duration Late = Now - m_LastTick - TickInterval;
     if (m_LastTick != TimePoint{} && Late > LoggedLateness)
-      m_Events.event(
-          Severity::Warning, "loop_late",
-          {{"late_ms",
-            absl::StrCat(
-                std::chrono::duration_cast<Milliseconds>(Late).count())}});
+      m_Events.event(Severity::Warning, "loop_late",
+                     {{"late_ms", millisecondsText(Late)}});
+    if (m_LastTick != TimePoint{})
+      m_LongestLateness = std::max(m_LongestLateness, Late);
     m_LastTick = Now;
     m_HostLoad.noteTick(Now, TickInterval);
     logHostLoad(Now);
   }
 
+  /// Logs each change between a confirmed and another state of the
+  /// configuration, and messages of peers that came late.
+  void logCurrency(TimePoint Now) {
+    if (m_OperatorTopic.isSynced())
+      m_Currency.noteComplete(m_OperatorTopic.upToDateAt());
+    const ConfigView View = m_Currency.view(Now);
+    if (std::exchange(m_LoggedStanding, View.m_Standing) != View.m_Standing)
+      m_Events.event(View.m_Standing == ConfigStanding::Confirmed
+                         ? Severity::Info
+                         : Severity::Warning,
+                     "config_state",
+                     {{"state", configStandingName(View.m_Standing)},
+                      {"version", absl::StrCat(View.m_Version)},
+                      {"known", absl::StrCat(View.m_KnownVersion)},
+                      {"age_ms", millisecondsText(View.m_Age)},
+                      {"topic", m_OperatorTopic.activity()}});
+    if (Now < m_NextDelayCheck)
+      return;
+    m_NextDelayCheck = Now + DelayCheckInterval;
+    const GossipDelay Delay = m_LoadGossip.takeDelay();
+    m_LongestGossipDelay = std::max(m_LongestGossipDelay, Delay.m_Longest);
+    if (Delay.m_Longest >= LoggedGossipDelay)
+      m_Events.event(Severity::Warning, "gossip_late",
+                     {{"delay_ms", millisecondsText(Delay.m_Longest)},
+                      {"from", Delay.m_LongestFrom}});
+  }
+
   void logHostLoad(TimePoint Now) {
     const HostLoadLevel Level = m_HostLoad.level();
     if (std::exchange(m_LoggedLoadLevel, Level) == Level)
       return;
-    m_Events.event(
-        Severity::Warning, "host_load",
-        {{"level", hostLoadLevelName(Level)},
-         {"late_ms", absl::StrCat(std::chrono::duration_cast<Milliseconds>(
-                                      m_HostLoad.lateness(Now))
-                                      .count())},
-         {"admitted", absl::StrCat(m_HostLoad.admittedFraction())},
-         {"ready", isReady() ? "yes" : "no"}});
+    m_Events.event(Severity::Warning, "host_load",
+                   {{"level", hostLoadLevelName(Level)},
+                    {"late_ms", millisecondsText(m_HostLoad.lateness(Now))},
+                    {"admitted", absl::StrCat(m_HostLoad.admittedFraction())},
+                    {"ready", isReady() ? "yes" : "no"}});
   }
 
   void tick() {
     const TimePoint Now = m_Time.now();
     noteTick(Now);
+    logCurrency(Now);
     if (m_MembershipTopic.isSynced())
       m_Directory.noteUpToDate(m_MembershipTopic.upToDateAt());
     updateTargets(Now);
@@ -555,6 +590,7 @@
     }
     m_Ownership.addOwnerChanges(Report);
     Report.m_Members = m_Hosts.takeMembers();
+    Report.m_ConfigVersion = m_Currency.knownVersion();
     Report.m_LeavingTargets = m_Targets.leavingToReport();
     for (TopicFollower *Each : {&m_OperatorTopic, &m_MembershipTopic})
       for (TopicRecords &Records : Each->takePublished())
@@ -584,6 +620,7 @@
       else if (Each.m_Topic == TargetTopic)
         m_MembershipTopic.applyPublished(Each);
     }
+    m_Currency.noteHeard(m_Time.now(), Report.m_ConfigVersion);
     const auto Note = [&Report](const std::string &Topic, TopicFollower &Each) {
       for (const auto *Progress : {&Report.m_Topics, &Report.m_RelayedTopics}) {
         const auto Found = Progress->find(Topic);
@@ -676,6 +713,8 @@
   const GatewaySettings &m_Settings;
   const std::shared_ptr<ByteBudget> m_ResponseBudget =
       std::make_shared<ByteBudget>(MaxUnfinishedResponseBytes);
+  const std::shared_ptr<TrafficCount> m_TargetTraffic =
+      std::make_shared<TrafficCount>();
   asio::io_context m_Loop{1};
   BootTimeClock m_Time;
   EventLog m_Events;
@@ -687,6 +726,7 @@
   EvacuatedDomains m_EvacuatedDomains;
   ConfigRevision m_ConfigRevision;
   TargetRegistry m_Targets;
+  ConfigCurrency m_Currency;
   const std::string m_HostId;
   HostMembership m_Hosts;
   OwnershipManager m_Ownership;
@@ -708,6 +748,10 @@
   asio::signal_set m_Signals;
   bool m_IsStopping = false;
   bool m_HasNewPeerLoad = false;
+  ConfigStanding m_LoggedStanding = ConfigStanding::Missing;
+  Duration m_LongestLateness{};
+  Duration m_LongestGossipDelay{};
+  TimePoint m_NextDelayCheck{};
   TimePoint m_LastTick{};
   TimePoint m_StopStart{};
   TimePoint m_LastStopTick{};
@@ -753,10 +797,7 @@
       {{"requests_cut", absl::StrCat(m_Components->m_SessionsCut)},
        {"reads_discarded",
         absl::StrCat(m_Components->m_Callers.sessions().discardedReads())},
-       {"longest_tick_ms",
-        absl::StrCat(std::chrono::duration_cast<Milliseconds>(
-                         m_Components->m_LongestStopTick)
-                         .count())}});
+       {"longest_tick_ms", millisecondsText(m_Components->m_LongestStopTick)}});
   return m_Components->m_SessionsCut == 0 ? ExitOk : ExitRequestsAborted;
 }
 
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -170,6 +170,7 @@
     return;
   }
   m_Buffer.commit(Size);
+  m_Registry.traffic().m_Received += Size;
   if (m_IsClosing) {
     m_Buffer.consume(m_Buffer.size());
     startRead();
@@ -358,11 +359,12 @@
     if (!Each.empty())
       Parts.push_back(asio::buffer(Each));
   const bool IsLast = m_IsClosing && m_Slots.empty();
-  asio::async_write(
-      m_Socket, Parts,
-      [Self = shared_from_this(), IsLast](const error_code &Error, size_t) {
-        Self->written(Error, IsLast);
-      });
+  asio::async_write(m_Socket, Parts,
+                    [Self = shared_from_this(), IsLast](const error_code &Error,
+                                                        size_t Size) {
+                      Self->m_Registry.traffic().m_Sent += Size;
+                      Self->written(Error, IsLast);
+                    });
 }
 
 void CallerSession::written(const error_code &Error, bool IsLast) {
--- a/src/net/callersession.h
+++ b/src/net/callersession.h
@@ -2,6 +2,7 @@
 #define MONSOON_NET_CALLERSESSION_H
 
 #include "net/requesthandler.h"
+#include "net/trafficcount.h"
 #include "ports/clock.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -141,12 +142,16 @@
   /// The number of sessions that are not idle.
   size_t busyCount() const;
 
+  /// Bytes of all sessions.
+  TrafficCount &traffic() { return m_Traffic; }
+
   /// Counts bytes of a caller that had been read when its session was closed.
   void noteDiscardedRead() { ++m_DiscardedReads; }
   size_t discardedReads() const { return m_DiscardedReads; }
 
 private:
   std::vector<std::shared_ptr<CallerSession>> m_Sessions;
+  TrafficCount m_Traffic;
   size_t m_DiscardedReads = 0;
   bool m_IsDraining = false;
 };
--- a/src/net/datagramchannel.cpp
+++ b/src/net/datagramchannel.cpp
@@ -43,10 +43,10 @@
   // Messages that cannot be sent without blocking are dropped: reports are
   // repeated, so a later one replaces them.
   error_code Ignored;
-  m_Socket.send_to(asio::buffer(Message),
-                   {asio::ip::make_address_v4(To.m_Host),
-                    static_cast<unsigned short>(To.m_Port)},
-                   0, Ignored);
+  m_Traffic.m_Sent += m_Socket.send_to(asio::buffer(Message),
+                                       {asio::ip::make_address_v4(To.m_Host),
+                                        static_cast<unsigned short>(To.m_Port)},
+                                       0, Ignored);
 }
 
 void DatagramChannel::receiveNext() {
@@ -54,6 +54,7 @@
                               [this](const error_code &Error, size_t Size) {
                                 if (Error == asio::error::operation_aborted)
                                   return;
+                                m_Traffic.m_Received += Size;
                                 if (!Error && m_Callback)
                                   m_Callback(
                                       std::string(m_Buffer.data(), Size));
--- a/src/net/datagramchannel.h
+++ b/src/net/datagramchannel.h
@@ -2,6 +2,7 @@
 #define MONSOON_NET_DATAGRAMCHANNEL_H
 
 #include "core/outcome.h"
+#include "net/trafficcount.h"
 #include "ports/peerchannel.h"
 
 #include <boost/asio/io_context.hpp>
@@ -31,6 +32,8 @@
     m_Callback = std::move(Callback);
   }
 
+  const TrafficCount &traffic() const { return m_Traffic; }
+
 private:
   void receiveNext();
 
@@ -38,6 +41,7 @@
   boost::asio::ip::udp::endpoint m_Sender;
   std::array<char, MaxMessageBytes> m_Buffer{};
   Received m_Callback;
+  TrafficCount m_Traffic;
 };
 
 } // namespace monsoon
--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -150,6 +150,8 @@
 
 void HttpLink::written(const error_code &Error, size_t Size) {
   m_IsWriting = false;
+  if (m_Config.m_Traffic)
+    m_Config.m_Traffic->m_Sent += Size;
   m_Message = nullptr;
   // Connection failures are handled by the read, so a write error only matters
   // when no byte was written, since the request was not sent then, and when the
@@ -206,6 +208,8 @@
     return;
   }
   m_Buffer.commit(Size);
+  if (m_Config.m_Traffic)
+    m_Config.m_Traffic->m_Received += Size;
   if (m_State != State::Busy) {
     // No request is in flight, so these bytes belong to none.
     close();
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -4,6 +4,7 @@
 #include "core/httpmessage.h"
 #include "core/settings.h"
 #include "net/bytebudget.h"
+#include "net/trafficcount.h"
 #include "ports/clock.h"
 
 #include <boost/asio/io_context.hpp>
@@ -61,6 +62,8 @@
     size_t m_MaxBodyBytes = 64 << 20;
     /// Limits the bodies of all links that share it; null for no common limit.
     std::shared_ptr<ByteBudget> m_Budget;
+    /// Counts the bytes of all links that share it; null if nothing counts.
+    std::shared_ptr<TrafficCount> m_Traffic;
     /// Time for which a request may still be written once its response is
     /// complete; then the connection is closed.
     Milliseconds m_WriteTimeout{2000};
--- a/src/ports/metricssink.h
+++ b/src/ports/metricssink.h
@@ -1,6 +1,7 @@
 #ifndef MONSOON_PORTS_METRICSSINK_H
 #define MONSOON_PORTS_METRICSSINK_H
 
+#include "core/configview.h"
 #include "core/errorkind.h"
 #include "core/tables.h"
 
@@ -24,6 +25,8 @@
   std::string m_Reason;
   /// Version of the routing tables that were used.
   int64_t m_ConfigVersion = 0;
+  /// What this host knew of its configuration when the request arrived.
+  ConfigView m_Config;
   /// Number of times that it was sent to a target.
   int m_Attempts = 0;
   /// Time from the receipt of the request to the end of its answer.
--- a/src/telemetry/requestmetrics.cpp
+++ b/src/telemetry/requestmetrics.cpp
@@ -42,7 +42,8 @@
 
 void RequestMetrics::logRequest(const RequestReport &Report) {
   const bool IsRoutine =
-      !Report.m_Error && Report.m_Status / 100 == 2 && Report.m_Attempts <= 1;
+      !Report.m_Error && Report.m_Status / 100 == 2 && Report.m_Attempts <= 1 &&
+      Report.m_Config.m_Standing == ConfigStanding::Confirmed;
   const LogLevel Level = IsRoutine ? LogLevel::Debug : LogLevel::Info;
   if (!isLogged(Level))
     return;
@@ -64,6 +65,9 @@
       .field("attempts", int64_t(Report.m_Attempts))
       .field("reason", Report.m_Reason)
       .field("config_version", Report.m_ConfigVersion)
+      .field("config_state", configStandingName(Report.m_Config.m_Standing))
+      .field("config_known", Report.m_Config.m_KnownVersion)
+      .field("config_age_ms", toMilliseconds(Report.m_Config.m_Age))
       .field("waited_ms", toMilliseconds(Report.m_Waited))
       .field("elapsed_ms", toMilliseconds(Report.m_Elapsed));
   if (Report.m_Error)
--- a/src/telemetry/requestmetrics.h
+++ b/src/telemetry/requestmetrics.h
@@ -52,7 +52,7 @@
 
   static Histogram newHistogram();
   /// Writes the log line of a request: at debug level if it succeeded with at
-  /// most one attempt, else at info level.
+  /// most one attempt by a confirmed configuration, else at info level.
   void logRequest(const RequestReport &Report);
   /// Returns the series of all shards, added up.
   std::map<SeriesKey, Series> merged() const;
