--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -1,6 +1,8 @@
 #include "platform/storeclient.h"
 #include "platform/storestandin.h"
 
+#include "net/rawpeer.h"
+
 #include <doctest.h>
 
 #include <map>
@@ -301,3 +303,79 @@
     CHECK(After.m_Duties.size() == Fixture.m_Client.duties());
   }
 }
+
+namespace {
+
+/// A store at the other end of a full link: it sends the pieces of a page with
+/// one record one after the other.
+struct SlowStore {
+  SlowStore() : m_Client(m_Loop, m_Time, m_Listener.address(), 12) {
+    const std::string Record =
+        std::string("\x06", 1) + "config" + std::string(PageBytes, 'x');
+    m_Page = bigEndian(1, 8) + bigEndian(0, 8) + bigEndian(Record.size(), 4) +
+             Record;
+  }
+
+  static std::string bigEndian(uint64_t Value, int Bytes) {
+    std::string Text;
+    for (int Shift = 8 * (Bytes - 1); Shift >= 0; Shift -= 8)
+      Text += static_cast<char>(Value >> Shift & 0xff);
+    return Text;
+  }
+
+  /// Reads the page, of which this many of ten pieces come.
+  Outcome<KeyedPage> read(int Pieces, Milliseconds Pause) {
+    std::optional<Outcome<KeyedPage>> Result;
+    m_Client.read("t", 0, Milliseconds(0),
+                  [&](const Outcome<KeyedPage> &Page) { Result = Page; });
+    REQUIRE(runUntil(m_Loop, [this]() {
+      return m_Listener.connections() > 0 &&
+             m_Listener.peer(0).received().find("\r\n\r\n") !=
+                 std::string::npos;
+    }));
+    RawPeer &Store = m_Listener.peer(0);
+    Store.send("HTTP/1.1 200 OK\r\nContent-Length: " +
+               std::to_string(m_Page.size()) + "\r\n\r\n");
+    const size_t Piece = m_Page.size() / 10 + 1;
+    for (int Number = 0; Number < Pieces && !Result; ++Number) {
+      Store.send(m_Page.substr(static_cast<size_t>(Number) * Piece, Piece));
+      runUntil(
+          m_Loop, [&Result]() { return Result.has_value(); }, Pause);
+    }
+    REQUIRE(runUntil(
+        m_Loop, [&Result]() { return Result.has_value(); },
+        Milliseconds(8000)));
+    return *Result;
+  }
+
+  static constexpr size_t PageBytes = 200 << 10;
+  boost::asio::io_context m_Loop;
+  BootTimeClock m_Time;
+  RawListener m_Listener{m_Loop};
+  StoreClient m_Client;
+  std::string m_Page;
+};
+
+} // namespace
+
+TEST_SUITE("late-news") {
+  // Guards against hosts that read a large version again and again: a read
+  // that took longer than the call timeout was begun anew.
+  TEST_CASE("a large page is read although it arrives slowly") {
+    SlowStore Store;
+    const auto Page = Store.read(10, Milliseconds(150));
+    REQUIRE(Page.has_value());
+    REQUIRE(Page.value().m_Records.size() == 1);
+    CHECK(Page.value().m_Records.front().m_Value->size() ==
+          SlowStore::PageBytes);
+  }
+
+  TEST_CASE("a page that stops arriving is given up after the call timeout") {
+    SlowStore Store;
+    const auto Start = std::chrono::steady_clock::now();
+    CHECK(!Store.read(3, Milliseconds(100)).has_value());
+    const auto Taken = std::chrono::steady_clock::now() - Start;
+    CHECK(Taken >= Milliseconds(700));
+    CHECK(Taken <= Milliseconds(2000));
+  }
+}
