Read progress in gossip gets older by the way of the message

Cause: a report says how long ago its sender knew a topic completely, as of the sending. The receiver added nothing for the way, so a report that had waited for seconds on a link or in a socket still made its receiver up to date, and it read nothing itself. The same held for an own read, which counted as of its answer instead of its start.

Evidence: membershiptest late-news failed (a change not applied 2 s after it was made, for delays of 0.9 s and 5 s, in a mesh and behind relays).

Now the longest time that the message can have been on its way, by the echo of the receiver's own clock, is added; without an echo the age is unknown. In time, gossip still spares the reads of all but the designated reader (a test counts them). membershiptest passes, 75 cases.

--- a/src/core/hostreport.h
+++ b/src/core/hostreport.h
@@ -18,6 +18,9 @@
 /// allowances for less than that, so no part of it is used twice.
 constexpr std::chrono::seconds CustomerDemandLifetime{6};
 
+/// Age of read progress whose way to this host may have taken any time.
+constexpr std::chrono::hours UnknownProgressAge{24};
+
 /// Read position of a host in a topic of the log.
 struct TopicProgress {
   /// Offset after the last record that the host has read.
@@ -25,7 +28,8 @@
   /// Offset after the last record that changed the state; a reader that has
   /// got this far may skip the records up to m_End.
   uint64_t m_LastChangeEnd = 0;
-  /// Time since the host read that the topic ended at m_End.
+  /// Time since the host read that the topic ended at m_End. At the receiver of
+  /// a report, an upper bound that includes the way of the report.
   Milliseconds m_Age{0};
 
   auto tie() const { return std::tie(m_End, m_LastChangeEnd, m_Age); }
--- a/src/membership/loadgossip.cpp
+++ b/src/membership/loadgossip.cpp
@@ -36,6 +36,15 @@
     addCounts(Sum[Pool], Counts);
 }
 
+/// Makes the ages of read progress include the way of the report.
+void addTransit(std::map<std::string, TopicProgress> &Topics,
+                std::optional<Duration> Transit) {
+  for (auto &[Topic, Progress] : Topics)
+    Progress.m_Age =
+        Transit ? Progress.m_Age + std::chrono::ceil<Milliseconds>(*Transit)
+                : Milliseconds(UnknownProgressAge);
+}
+
 bool hasNews(const HostReport &Report) {
   return !Report.m_OwnerUpdates.empty() || !Report.m_TopicRecords.empty() ||
          !Report.m_EndedTerms.empty() || !Report.m_FormerOwners.empty() ||
@@ -249,6 +258,8 @@
   if (Report.m_Sequence <= Last.m_Sequence)
     return;
   Last.m_Sequence = Report.m_Sequence;
+  addTransit(Report.m_Topics, Transit);
+  addTransit(Report.m_RelayedTopics, Transit);
   Last.m_Topics = Report.m_Topics;
   Last.m_TopicsAt = m_Clock.now();
   const bool IsNeighbor = m_Topology.isNeighbor(Report.m_Host);
--- a/src/membership/loadgossip.h
+++ b/src/membership/loadgossip.h
@@ -56,6 +56,10 @@
 ///   relays of the other domains and the lease holders at once, and the relays
 ///   pass it on to their neighbors at once.
 /// No report is passed on twice, so none circulates.
+///
+/// The read progress that a report tells gets older by the longest time for
+/// which the report can have been on its way (see TransitTimer), so that late
+/// reports never make a host count as up to date.
 class LoadGossip {
 public:
   /// Returns the report of this host: its read progress, recorded updates
--- a/src/membership/topicfollower.cpp
+++ b/src/membership/topicfollower.cpp
@@ -35,6 +35,7 @@
   if (m_IsReading || !isReadDue(m_Clock.now()))
     return;
   m_IsReading = true;
+  m_ReadStart = m_Clock.now();
   if (m_NeedsFullRead)
     readFull();
   else
@@ -111,10 +112,11 @@
 }
 
 void TopicFollower::deliver(const KeyedPage &Page, bool IsFull,
-                            bool IsComplete) {
-  if (IsComplete) {
+                            std::optional<TimePoint> CompleteAt) {
+  if (CompleteAt) {
     logCaughtUp(m_Clock.now());
-    m_UpToDateAt = m_OwnReadAt = m_Clock.now();
+    m_OwnReadAt = std::max(m_OwnReadAt, *CompleteAt);
+    m_UpToDateAt = std::max(m_UpToDateAt, m_OwnReadAt);
   }
   m_RetryDelay = MinRetryDelay;
   // The callback may send progress(). Until it returns, the records count as
@@ -176,7 +178,7 @@
         m_IsSynced = true;
         m_End = Page.value().m_End;
         m_FullReadRecords = Page.value().m_Records.size();
-        deliver(Page.value(), true, true);
+        deliver(Page.value(), true, m_ReadStart);
         m_IsDeliveringRestored = false;
         tick();
       });
@@ -193,6 +195,12 @@
           scheduleRetry(Page.error());
           return;
         }
+        // Without records the log has waited for the whole time, else it has
+        // answered at an unknown time after the start.
+        const bool HasWaited = Page.value().m_Records.empty() &&
+                               m_Clock.now() - m_ReadStart >= m_Config.m_Wait;
+        const TimePoint CompleteAt =
+            HasWaited ? m_ReadStart + m_Config.m_Wait : m_ReadStart;
         // Drops records that were skipped during the read; they are known.
         auto &Records = Page.value().m_Records;
         Records.erase(std::remove_if(Records.begin(), Records.end(),
@@ -210,7 +218,8 @@
           m_NeedsFullRead = true;
         m_NextRead = m_Clock.now() +
                      (m_IsCatchingUp ? Milliseconds(0) : m_Config.m_Pause);
-        deliver(Page.value(), false, !m_IsCatchingUp);
+        deliver(Page.value(), false,
+                m_IsCatchingUp ? std::nullopt : std::optional(CompleteAt));
         tick();
       });
 }
--- a/src/membership/topicfollower.h
+++ b/src/membership/topicfollower.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -83,7 +84,9 @@
 
   /// True once a full read has succeeded.
   bool isSynced() const { return m_IsSynced; }
-  /// Time at which this host last knew the topic completely.
+  /// Latest moment for which this host is known to know the topic completely:
+  /// the start of a read that reached the end, or a peer's, however long the
+  /// answer or the peer's report took.
   TimePoint upToDateAt() const { return m_UpToDateAt; }
   LogOffset end() const { return m_End; }
   /// True while the callback gets the first page of a later epoch than the
@@ -117,8 +120,10 @@
   /// Logs the end of a time in which the topic was not known completely.
   void logCaughtUp(TimePoint Now);
   bool isReadDue(TimePoint Now) const;
-  /// IsComplete: the topic is known up to its end with this page.
-  void deliver(const KeyedPage &Page, bool IsFull, bool IsComplete);
+  /// CompleteAt: the topic is known with this page as it was at this moment;
+  /// empty if more is to be read.
+  void deliver(const KeyedPage &Page, bool IsFull,
+               std::optional<TimePoint> CompleteAt);
   /// Moves the records that the callback has published for the page up to m_End
   /// to m_Published.
   void finishPublishing(LogOffset From);
@@ -137,6 +142,7 @@
   /// Number of records in the last full read.
   size_t m_FullReadRecords = 0;
   bool m_IsReading = false;
+  TimePoint m_ReadStart{};
   LogOffset m_End = 0;
   /// Offset after the last record that changed something; peers may skip the
   /// records from there to m_End.
