Messages that wait in the socket are received in batches

Evidence: nettest late-news failed, 60 waiting messages took 60 turns. Up to 64 are now received in a turn; the test takes at most 10.

--- a/src/net/datagramchannel.cpp
+++ b/src/net/datagramchannel.cpp
@@ -9,6 +9,15 @@
 namespace asio = boost::asio;
 using boost::system::error_code;
 
+namespace {
+
+/// Messages received in one turn of the event loop. One a turn is too few when
+/// a turn takes long: the socket's buffer would fill, and its messages be
+/// seconds old. More would delay requests.
+constexpr int MaxMessagesInTurn = 64;
+
+} // namespace
+
 DatagramChannel::DatagramChannel(asio::io_context &Loop) : m_Socket(Loop) {}
 
 Outcome<void> DatagramChannel::listen(const Endpoint &Address) {
@@ -54,12 +63,28 @@
                               [this](const error_code &Error, size_t Size) {
                                 if (Error == asio::error::operation_aborted)
                                   return;
-                                m_Traffic.m_Received += Size;
-                                if (!Error && m_Callback)
-                                  m_Callback(
-                                      std::string(m_Buffer.data(), Size));
+                                if (!Error)
+                                  received(Size);
+                                receiveWaiting();
                                 receiveNext();
                               });
 }
 
+void DatagramChannel::received(size_t Size) {
+  m_Traffic.m_Received += Size;
+  if (m_Callback)
+    m_Callback(std::string(m_Buffer.data(), Size));
+}
+
+void DatagramChannel::receiveWaiting() {
+  error_code Error;
+  for (int Count = 0; Count < MaxMessagesInTurn; ++Count) {
+    const size_t Size =
+        m_Socket.receive_from(asio::buffer(m_Buffer), m_Sender, 0, Error);
+    if (Error)
+      return;
+    received(Size);
+  }
+}
+
 } // namespace monsoon
--- a/src/net/datagramchannel.h
+++ b/src/net/datagramchannel.h
@@ -36,6 +36,9 @@
 
 private:
   void receiveNext();
+  /// Receives the messages that wait in the socket, up to a limit.
+  void receiveWaiting();
+  void received(size_t Size);
 
   boost::asio::ip::udp::socket m_Socket;
   boost::asio::ip::udp::endpoint m_Sender;
