A slow read of the log is not begun anew while its answer arrives

A version with some 1,000 routes is one record of 177 KB. A read had 0.7 s for all of it (1.2 s with its wait) and then started from the beginning, so on a link that is full with other traffic it could fail again and again.

Evidence: platformtest late-news failed, a page in ten pieces 150 ms apart was given up. The timeout of calls to the store now covers the time to the first byte and the pause between two parts, and 10 s the whole answer. A connection that falls silent still ends after 0.7 s. nettest, platformtest pass.

--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -6,6 +6,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -133,6 +134,7 @@
 void HttpLink::write() {
   m_State = State::Busy;
   m_Interims = 0;
+  m_ResponseStart.reset();
   newParser();
   if (m_Timeout.count() > 0)
     startTimer(m_Timeout, LinkResult::Lost);
@@ -215,10 +217,24 @@
     close();
     return;
   }
+  extendTimer();
   if (parse() && m_State != State::Closed)
     startRead();
 }
 
+void HttpLink::extendTimer() {
+  if (m_Timeout.count() == 0 || m_Config.m_PauseTimeout.count() == 0)
+    return;
+  const TimePoint Now = m_Clock.now();
+  if (!m_ResponseStart)
+    m_ResponseStart = Now;
+  const auto Remaining = std::chrono::duration_cast<Milliseconds>(
+      *m_ResponseStart + m_Config.m_LongestResponse - Now);
+  startTimer(
+      std::max(Milliseconds(0), std::min(m_Config.m_PauseTimeout, Remaining)),
+      LinkResult::Lost);
+}
+
 void HttpLink::handleReadError(const error_code &Error) {
   if (m_State != State::Busy) {
     close();
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -67,6 +67,13 @@
     /// Time for which a request may still be written once its response is
     /// complete; then the connection is closed.
     Milliseconds m_WriteTimeout{2000};
+    /// Limit for the pause between two parts of a response, in place of the
+    /// timeout of send(), which then covers only the time to the first byte.
+    /// Zero: send()'s timeout covers the whole response.
+    Milliseconds m_PauseTimeout{0};
+    /// With a pause timeout, limit for the time from the first byte of a
+    /// response to its last.
+    Milliseconds m_LongestResponse{10'000};
     /// Name of the response field that repeats the request's id. Responses with
     /// the id of another request are discarded, so an id must be sent only once
     /// on a connection; see LinkPool::acquire(). Empty: not checked.
@@ -140,6 +147,8 @@
   void finish(LinkResult Result, HttpResponse Response);
   void becomeFree();
   void startTimer(Milliseconds Length, LinkResult Result);
+  /// Extends the time limit of a response of which another part has arrived.
+  void extendTimer();
 
   boost::asio::ip::tcp::socket m_Socket;
   boost::asio::steady_timer m_Timer;
@@ -158,6 +167,8 @@
   std::string m_RequestId;
   bool m_ExpectsBody = true;
   Milliseconds m_Timeout{0};
+  /// When the first byte of the response arrived.
+  std::optional<TimePoint> m_ResponseStart;
   Done m_Done;
   boost::beast::flat_buffer m_Buffer;
   std::optional<Parser> m_Parser;
