A host that can't know whether its configuration is in force says so

The age of a host's configuration was not bounded and nothing looked at it. Now it is an upper bound, so a rule can use it (docs/design/currency.md): beyond config_apply_ms a host answers 503 instead of 404, since it can't tell, and goes on sending by its version, since otherwise an outage of the store would stop all hosts; a host that knows that others have a newer version, and has failed to read it for half of that time, refuses every request as not run and leaves the rotation.

--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -15,6 +15,9 @@
 /// Retry-After while this host stops; another host can serve the caller at
 /// once.
 constexpr Milliseconds StoppingRetryAfter{50};
+/// Retry-After while other hosts have a newer configuration; they can serve the
+/// caller at once.
+constexpr Milliseconds OutdatedRetryAfter{50};
 /// The configuration is read within a few hundred milliseconds.
 constexpr Milliseconds NoConfigurationRetryAfter{300};
 
@@ -104,9 +107,18 @@
                                    NoConfigurationRetryAfter);
     return Result;
   }
+  if (Result.m_Config.m_Standing == ConfigStanding::Outdated) {
+    refuseUncertain(Result, RequestId, "config_outdated", OutdatedRetryAfter);
+    return Result;
+  }
   const std::string *Host = Request.m_Fields.find("Host");
   const Route *MatchedRoute =
       Host ? m_Routes->match(*Host, Request.path()) : nullptr;
+  if (!MatchedRoute && Result.m_Config.m_Standing != ConfigStanding::Confirmed) {
+    refuseUncertain(Result, RequestId, "config_unconfirmed",
+                    NoConfigurationRetryAfter);
+    return Result;
+  }
   if (!MatchedRoute) {
     Result.m_Error = ErrorKind::RouteUnknown;
     Result.m_Reason = "no_route";
@@ -120,6 +132,15 @@
   return Result;
 }
 
+void Dispatcher::refuseUncertain(Match &Result, const std::string &RequestId,
+                                 const char *Reason, Milliseconds RetryAfter) {
+  Result.m_Error = ErrorKind::ViewStale;
+  Result.m_Reason = Reason;
+  Result.m_Refusal =
+      errorAnswer(ErrorKind::ViewStale, RequestId,
+                  "this host's configuration may be outdated", RetryAfter);
+}
+
 void Dispatcher::authenticate(const HttpRequest &Request,
                               const std::string &RequestId,
                               Match &Result) const {
@@ -132,11 +153,8 @@
   if (Result.m_Route->isPublic())
     return;
   if (m_Parts.m_Clock.now() >= m_ConfirmedUntil) {
-    Result.m_Error = ErrorKind::ViewStale;
-    Result.m_Reason = "config_unconfirmed";
-    Result.m_Refusal = errorAnswer(ErrorKind::ViewStale, RequestId,
-                                   "the keys of the customers may be outdated",
-                                   NoConfigurationRetryAfter);
+    refuseUncertain(Result, RequestId, "config_unconfirmed",
+                    NoConfigurationRetryAfter);
     return;
   }
   if (Result.m_Customer.m_Customer)
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -17,7 +17,10 @@
 /// Handles every caller request of this entry host: finds its route, chooses
 /// the pool and passes it to the pool's dispatcher. Refuses requests itself
 /// while the host stops, before routing tables are loaded, and if no route or
-/// pool matches. All calls are made on the event loop's thread.
+/// pool matches. While its tables may not be the ones in force, a request
+/// without a route is refused as not run instead of unknown, and while a newer
+/// version is known, every request; see docs/design/currency.md. All calls are
+/// made on the event loop's thread.
 class Dispatcher : public RequestHandler {
 public:
   /// Returns the key ownership of a pool, or null.
@@ -79,6 +82,10 @@
   /// What this host knows of its configuration now.
   ConfigView configView() const;
   Match match(const HttpRequest &Request, const std::string &RequestId) const;
+  /// Sets the refusal of a request that this host can't decide, since its
+  /// configuration may not be the one in force.
+  static void refuseUncertain(Match &Result, const std::string &RequestId,
+                              const char *Reason, Milliseconds RetryAfter);
   /// Finds the customer by the key in the request; sets the refusal if there is
   /// none.
   void authenticate(const HttpRequest &Request, const std::string &RequestId,
--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -210,7 +210,7 @@
   Done(std::set<std::string>{m_Member});
 }
 
-EntryBench::EntryBench() {
+EntryBench::EntryBench(const ConfigCurrency *Currency) {
   const auto MakeLinks = [this](const Endpoint &Address) {
     HttpLink::Options Options;
     Options.m_Address = Address;
@@ -225,7 +225,7 @@
   m_Dispatcher = std::make_unique<Dispatcher>(
       m_Loop, m_Dialect,
       PoolDispatcher::Parts{m_Time, *m_Registry, *m_Hosts, *this, "host", "d1",
-                            Limits, &m_Allowances, &m_HostLoad},
+                            Limits, &m_Allowances, &m_HostLoad, Currency},
       [this](const std::string &Pool) { return m_FindOwnership(Pool); });
 }
 
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -124,7 +124,8 @@
 /// Test fixture: a dispatcher with scripted targets.
 class EntryBench : public EventSink, public MetricsSink {
 public:
-  EntryBench();
+  /// Without Currency, the last published version counts as the one in force.
+  explicit EntryBench(const ConfigCurrency *Currency = nullptr);
   ~EntryBench() override;
 
   ScriptedTarget &addTarget(const std::string &Id,
