A version heard of after an invalid one starts the time to read it

After a version that was read and refused as invalid, a host that could not read the next one was never outdated, since the time to read it counted from the first.

--- a/src/membership/configcurrency.cpp
+++ b/src/membership/configcurrency.cpp
@@ -13,7 +13,8 @@
 void ConfigCurrency::noteHeard(TimePoint Now, int64_t Version) {
   if (Version <= m_KnownVersion)
     return;
-  if (m_KnownVersion <= m_Version)
+  // Unless an earlier one is still unread, the time to read it starts now.
+  if (m_KnownVersion <= m_Version || m_CompleteAt >= m_NewerSince)
     m_NewerSince = Now;
   m_KnownVersion = Version;
 }
--- a/tests/membership/configcurrencytest.cpp
+++ b/tests/membership/configcurrencytest.cpp
@@ -75,6 +75,18 @@
     CHECK(Host.after(ApplyLimit) == ConfigStanding::Confirmed);
   }
 
+  TEST_CASE("a host that has refused a version as invalid is outdated once it "
+            "could not read the next one") {
+    Given Host;
+    Host.m_Currency.noteHeard(Host.m_Now, 22);
+    Host.m_Currency.noteComplete(Host.m_Now);
+    Host.after(Milliseconds(500));
+    Host.m_Currency.noteHeard(Host.m_Now, 23);
+    CHECK(Host.after(ApplyLimit / 2 - Milliseconds(1)) ==
+          ConfigStanding::Confirmed);
+    CHECK(Host.after(Milliseconds(1)) == ConfigStanding::Outdated);
+  }
+
   TEST_CASE("an older version of a peer means nothing") {
     Given Host;
     Host.m_Currency.noteHeard(Host.m_Now, 19);
