--- a/src/membership/configcurrency.cpp
+++ b/src/membership/configcurrency.cpp
@@ -32,7 +32,7 @@
     return ConfigStanding::Missing;
   const bool HasUnread =
       m_KnownVersion > m_Version && m_CompleteAt < m_NewerSince;
-  if (HasUnread && Now - m_NewerSince >= m_ApplyLimit / 2)
+  if (HasUnread && Now - m_NewerSince >= m_ReadLimit)
     return ConfigStanding::Outdated;
   return Now - m_CompleteAt > m_ApplyLimit ? ConfigStanding::Unconfirmed
                                            : ConfigStanding::Confirmed;
--- a/src/membership/configcurrency.h
+++ b/src/membership/configcurrency.h
@@ -10,14 +10,15 @@
 ///
 /// The host is confirmed for the apply limit after each moment for which it
 /// knows the operators' topic completely. When a peer reports a newer version,
-/// the host has half of that limit to read the topic; it is outdated after
-/// that. A version that was read and refused as invalid does not count as
+/// the host has three quarters of that limit to read the topic; it is outdated
+/// after that. A version that was read and refused as invalid does not count as
 /// unread.
 class ConfigCurrency {
 public:
   /// ApplyLimit: time after its acknowledgement by the log in which a version
   /// has to be in force on all hosts.
-  explicit ConfigCurrency(Duration ApplyLimit) : m_ApplyLimit(ApplyLimit) {}
+  explicit ConfigCurrency(Duration ApplyLimit)
+      : m_ApplyLimit(ApplyLimit), m_ReadLimit(ApplyLimit * 3 / 4) {}
 
   /// This host uses a version from now on.
   void noteApplied(int64_t Version);
@@ -37,6 +38,9 @@
   ConfigStanding standing(TimePoint Now) const;
 
   const Duration m_ApplyLimit;
+  /// Time to read a version that a peer has reported. The report itself takes
+  /// part of the apply limit.
+  const Duration m_ReadLimit;
   bool m_IsApplied = false;
   int64_t m_Version = 0;
   int64_t m_KnownVersion = 0;
