--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -114,7 +114,8 @@
   const std::string *Host = Request.m_Fields.find("Host");
   const Route *MatchedRoute =
       Host ? m_Routes->match(*Host, Request.path()) : nullptr;
-  if (!MatchedRoute && Result.m_Config.m_Standing != ConfigStanding::Confirmed) {
+  if (!MatchedRoute &&
+      Result.m_Config.m_Standing != ConfigStanding::Confirmed) {
     refuseUncertain(Result, RequestId, "config_unconfirmed",
                     NoConfigurationRetryAfter);
     return Result;
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -258,7 +258,8 @@
 
   bool isReady() const {
     return !m_IsStopping && m_Dispatcher.routes() &&
-           m_Currency.view(m_Time.now()).m_Standing != ConfigStanding::Outdated &&
+           m_Currency.view(m_Time.now()).m_Standing !=
+               ConfigStanding::Outdated &&
            m_MembershipTopic.isSynced() && m_Ownership.areOwnersKnown() &&
            !(m_HostLoad.level() == HostLoadLevel::Full && m_MayLeaveRotation);
   }
