--- a/review/standin2/scene.cpp
+++ b/review/standin2/scene.cpp
@@ -14,6 +14,8 @@
 constexpr size_t MaxBodyBytes = 64 << 20;
 constexpr int DeadlineMs = 1500;
 constexpr Milliseconds ReadyLimit{20'000};
+/// A script that is not done by then ends itself and its processes.
+constexpr unsigned ScriptLimitSeconds = 115;
 const char *const Zones[] = {"lodz-a", "lodz-b", "pabianice"};
 
 std::string makeScratchFolder() {
@@ -33,6 +35,11 @@
   std::exit(Scene::CouldNotRun);
 }
 
+void endEverything(int /*Signal*/) {
+  killAllEntryHosts();
+  ::_exit(Scene::CouldNotRun);
+}
+
 bool wantsTrouble() {
   const char *Text = std::getenv("TROUBLE");
   return !Text || std::strcmp(Text, "0") != 0;
@@ -45,6 +52,9 @@
       m_Folder(argument(Count, Arguments, 2)), m_HasTrouble(wantsTrouble()),
       m_Scratch(makeScratchFolder()), m_Record(m_Folder + "/record.txt") {
   std::signal(SIGPIPE, SIG_IGN);
+  for (const int Each : {SIGTERM, SIGINT, SIGALRM})
+    std::signal(Each, endEverything);
+  ::alarm(ScriptLimitSeconds);
   note(m_HasTrouble ? "with the disruption" : "without the disruption");
 }
 
--- a/review/standin2/standins.cpp
+++ b/review/standin2/standins.cpp
@@ -29,6 +29,18 @@
 constexpr size_t MaxHeadBytes = 256 << 10;
 constexpr size_t DutyPartitions = 12;
 constexpr Milliseconds HeartbeatInterval{870};
+constexpr size_t MaxEntryHosts = 16;
+
+/// The processes to end when the script itself is ended; 0: unused.
+std::atomic<int> RunningHosts[MaxEntryHosts];
+
+void replacePid(int Former, int Next) {
+  for (std::atomic<int> &Each : RunningHosts) {
+    int Expected = Former;
+    if (Each.compare_exchange_strong(Expected, Next))
+      return;
+  }
+}
 
 std::string lower(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(), ::tolower);
@@ -818,6 +830,13 @@
   ::kill(m_Pid, SIGCONT);
   ::kill(m_Pid, SIGKILL);
   ::waitpid(m_Pid, nullptr, 0);
+  replacePid(m_Pid, 0);
+}
+
+void killAllEntryHosts() {
+  for (const std::atomic<int> &Each : RunningHosts)
+    if (const int Pid = Each.load())
+      ::kill(Pid, SIGKILL);
 }
 
 bool EntryHost::start() {
@@ -845,6 +864,8 @@
   posix_spawn_file_actions_destroy(&Files);
   if (Error != 0)
     m_Pid = 0;
+  else
+    replacePid(0, m_Pid);
   return Error == 0;
 }
 
@@ -867,6 +888,7 @@
 bool EntryHost::hasEnded(int &Status) {
   if (m_Pid == 0 || ::waitpid(m_Pid, &Status, WNOHANG) != m_Pid)
     return m_Pid == 0;
+  replacePid(m_Pid, 0);
   m_Pid = 0;
   return true;
 }
--- a/review/standin2/standins.h
+++ b/review/standin2/standins.h
@@ -271,6 +271,9 @@
   int m_Pid = 0;
 };
 
+/// Ends all entry hosts that run. Safe to call from a signal handler.
+void killAllEntryHosts();
+
 /// A config with a sharded `safe` route /look/, a plain `safe` route /read/ and
 /// an `unsafe` route /order/, all of host shop.example.
 std::string configText(int Version, size_t MaxBodyBytes);
