--- a/review/standin2/standins.cpp
+++ b/review/standin2/standins.cpp
@@ -28,7 +28,6 @@
 constexpr size_t ReadBytes = 64 << 10;
 constexpr size_t MaxHeadBytes = 256 << 10;
 constexpr size_t DutyPartitions = 12;
-constexpr Milliseconds HeartbeatInterval{870};
 constexpr size_t MaxEntryHosts = 16;
 
 /// The processes to end when the script itself is ended; 0: unused.
@@ -624,8 +623,9 @@
       m_Born(std::chrono::duration_cast<Milliseconds>(
                  std::chrono::system_clock::now().time_since_epoch())
                  .count()),
-      m_Listener([this](Connection &Peer) { serve(Peer); }),
-      m_Heart([this]() { beat(); }) {}
+      m_Listener([this](Connection &Peer) { serve(Peer); }) {
+  beat();
+}
 
 Server::~Server() { crash(); }
 
@@ -634,30 +634,23 @@
     return;
   m_SlotFree.notify_all();
   m_Listener.stop();
-  m_Heart.join();
   m_Log.line("server " + m_Config.m_Id + " crashed");
 }
 
 void Server::beat() {
-  TimePoint Next = SteadyClock::now();
-  while (m_IsUp) {
-    if (SteadyClock::now() < Next) {
-      std::this_thread::sleep_for(Milliseconds(10));
-      continue;
-    }
-    Next += HeartbeatInterval;
-    Json::Value Entry;
-    Entry["service"] = m_Config.m_Service;
-    Entry["address"] = address(m_Listener.port());
-    Entry["zone"] = m_Config.m_Zone;
-    Entry["version"] = "v1";
-    Entry["slots"] = m_Config.m_Slots;
-    Entry["state"] = "ready";
-    Entry["warmup_remaining_ms"] = 0;
-    Entry["sequence"] = Json::Int64(++m_Sequence);
-    Entry["born"] = Json::Int64(m_Born);
-    m_Store.put("keyed.servers", m_Config.m_Id, writeJson(Entry));
-  }
+  // The entry changes only when more than the sequence changes, so heartbeats
+  // of a server of which nothing else changes write no record.
+  Json::Value Entry;
+  Entry["service"] = m_Config.m_Service;
+  Entry["address"] = address(m_Listener.port());
+  Entry["zone"] = m_Config.m_Zone;
+  Entry["version"] = "v1";
+  Entry["slots"] = m_Config.m_Slots;
+  Entry["state"] = "ready";
+  Entry["warmup_remaining_ms"] = 0;
+  Entry["sequence"] = 1;
+  Entry["born"] = Json::Int64(m_Born);
+  m_Store.put("keyed.servers", m_Config.m_Id, writeJson(Entry));
 }
 
 std::map<std::string, std::vector<std::string>> Server::runs() {
--- a/review/standin2/standins.h
+++ b/review/standin2/standins.h
@@ -221,7 +221,6 @@
   Store &m_Store;
   Record &m_Log;
   const int64_t m_Born;
-  int64_t m_Sequence = 0;
   std::atomic<bool> m_IsUp{true};
   std::mutex m_Mutex;
   std::condition_variable m_SlotFree;
@@ -232,7 +231,6 @@
   std::vector<Hold> m_Seen;
   std::multiset<uint32_t> m_KeysAtWork;
   Listener m_Listener;
-  std::thread m_Heart;
 };
 
 /// The body with which a server answers a request.
