Review case 8: keys are given away while their former owner works on them

Cause: RangeAssigner matches the answer to a release by fence and keys, not by call. The late answer to the release of a move that was dropped frees the same range in the next move, although its owner was granted it again in between.

The cases are numbered by gravity: 7 is now the zones that are not used again, 9 the answers to HEAD. The stand-ins know four zones and cold servers.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,7 +4,7 @@
 cd "$(dirname "$0")/.."
 folder=target/review-2
 mkdir -p "$folder"
-for name in pipeline head; do
+for name in pipeline head handover; do
   g++ -std=c++17 -O2 -Wall -Wextra -o "$folder/$name" \
     "review/standin2/$name.cpp" review/standin2/scene.cpp \
     review/standin2/standins.cpp \
--- a/review/standin2/head.cpp
+++ b/review/standin2/head.cpp
@@ -1,4 +1,4 @@
-// Case 7. Requesters ask by HEAD and GET in turn on kept connections, one
+// Case 9. Requesters ask by HEAD and GET in turn on kept connections, one
 // request at a time. Meanwhile some servers lose the answers of requests that
 // they ran. Checked: after the answer to a HEAD request, which has no body, the
 // next bytes are the answer to the next request.
--- a/review/standin2/scene.cpp
+++ b/review/standin2/scene.cpp
@@ -13,10 +13,13 @@
 
 constexpr size_t MaxBodyBytes = 64 << 20;
 constexpr int DeadlineMs = 1500;
+/// Left of the 3 s (cold_s) of servers that turned cold 2 s before their zone is
+/// taken back.
+constexpr Milliseconds ColdTime{1000};
 constexpr Milliseconds ReadyLimit{20'000};
 /// A script that is not done by then ends itself and its processes.
 constexpr unsigned ScriptLimitSeconds = 115;
-const char *const Zones[] = {"lodz-a", "lodz-b", "pabianice"};
+const char *const Zones[] = {"lodz-a", "lodz-b", "pabianice", "zgierz"};
 
 std::string makeScratchFolder() {
   char Template[] = "/tmp/review-2-XXXXXX";
@@ -55,6 +58,9 @@
   for (const int Each : {SIGTERM, SIGINT, SIGALRM})
     std::signal(Each, endEverything);
   ::alarm(ScriptLimitSeconds);
+  m_Watch.m_OnBreach = [this](const std::string &Text) {
+    breach("OWNER: " + Text);
+  };
   note(m_HasTrouble ? "with the disruption" : "without the disruption");
 }
 
@@ -75,10 +81,11 @@
     Server::Options Config;
     Config.m_Id = "i-" + Service + "-" + std::to_string(Index + 1);
     Config.m_Service = Service;
-    Config.m_Zone = Zones[Index % 3];
+    Config.m_Zone = Zones[Index % 4];
     Config.m_IsSharded = IsSharded;
     Config.m_Work = Work;
     Config.m_Respond = Answer;
+    Config.m_Watch = IsSharded ? &m_Watch : nullptr;
     m_Servers[Service].push_back(
         std::make_unique<Server>(std::move(Config), m_Store, m_Record));
   }
@@ -89,7 +96,7 @@
   for (int Index = 0; Index < Hosts; ++Index) {
     m_Hosts.push_back(std::make_unique<EntryHost>(
         m_Repository, m_Scratch, "host-" + std::to_string(Index + 1),
-        Zones[Index % 3], m_Store.port()));
+        Zones[Index % 4], m_Store.port()));
     if (!m_Hosts.back()->start()) {
       std::fprintf(stderr, "an entry host could not be started\n");
       return false;
@@ -171,6 +178,19 @@
   return !Closes;
 }
 
+void Scene::setEvacuated(const std::string &Zone, bool IsOut) {
+  note((IsOut ? "evacuate " : "take back ") + Zone);
+  if (IsOut) {
+    m_Store.put("keyed.op", "evacuate/" + Zone, "{}");
+    return;
+  }
+  m_Store.remove("keyed.op", "evacuate/" + Zone);
+  for (auto &[Service, All] : m_Servers)
+    for (const auto &Each : All)
+      if (Each->zone() == Zone)
+        Each->turnCold(ColdTime);
+}
+
 void Scene::breach(const std::string &Text) {
   ++m_Breaches;
   note("BROKEN " + Text);
--- a/review/standin2/scene.h
+++ b/review/standin2/scene.h
@@ -42,6 +42,9 @@
                   const std::string &Method, Milliseconds Limit);
 
   void note(const std::string &Text) { m_Record.line(Text); }
+  /// Asks that nothing more be sent to the servers of a zone, or takes that
+  /// back; the servers are cold then.
+  void setEvacuated(const std::string &Zone, bool IsOut);
   /// Records that the rule was broken.
   void breach(const std::string &Text);
   int breaches() const { return m_Breaches; }
@@ -64,6 +67,7 @@
   std::string m_Scratch;
   Record m_Record;
   Store m_Store;
+  KeyWatch m_Watch;
   std::map<std::string, std::vector<std::unique_ptr<Server>>> m_Servers;
   std::vector<std::unique_ptr<EntryHost>> m_Hosts;
   std::mutex m_Mutex;
--- a/review/standin2/standins.cpp
+++ b/review/standin2/standins.cpp
@@ -624,7 +624,7 @@
                  std::chrono::system_clock::now().time_since_epoch())
                  .count()),
       m_Listener([this](Connection &Peer) { serve(Peer); }) {
-  beat();
+  writeEntry(Milliseconds(0));
 }
 
 Server::~Server() { crash(); }
@@ -637,7 +637,7 @@
   m_Log.line("server " + m_Config.m_Id + " crashed");
 }
 
-void Server::beat() {
+void Server::writeEntry(Milliseconds WarmupLeft) {
   // The entry changes only when more than the sequence changes, so heartbeats
   // of a server of which nothing else changes write no record.
   Json::Value Entry;
@@ -647,22 +647,61 @@
   Entry["version"] = "v1";
   Entry["slots"] = m_Config.m_Slots;
   Entry["state"] = "ready";
-  Entry["warmup_remaining_ms"] = 0;
-  Entry["sequence"] = 1;
+  Entry["warmup_remaining_ms"] = Json::Int64(WarmupLeft.count());
+  Entry["sequence"] = Json::Int64(++m_Sequence);
   Entry["born"] = Json::Int64(m_Born);
   m_Store.put("keyed.servers", m_Config.m_Id, writeJson(Entry));
 }
 
+void Server::turnCold(Milliseconds Length) { writeEntry(Length); }
+
+std::optional<uint32_t> Server::heldKey(size_t Number) {
+  const std::lock_guard<std::mutex> Lock(m_Mutex);
+  if (m_Holds.empty())
+    return std::nullopt;
+  const Hold &Range = m_Holds[Number % m_Holds.size()];
+  return (Range.m_First + Range.m_Last) / 2;
+}
+
+uint64_t KeyWatch::begin(const std::string &Server, uint32_t Key,
+                         TimePoint HeldUntil) {
+  const std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Works[m_Next] = {Server, Key, HeldUntil};
+  return m_Next++;
+}
+
+void KeyWatch::end(uint64_t Number) {
+  const std::lock_guard<std::mutex> Lock(m_Mutex);
+  m_Works.erase(Number);
+}
+
+void KeyWatch::noteGiven(const std::string &Server, uint32_t First,
+                         uint32_t Last) {
+  const TimePoint Now = SteadyClock::now();
+  const std::lock_guard<std::mutex> Lock(m_Mutex);
+  for (const auto &[Number, Each] : m_Works)
+    if (Each.m_Server != Server && First <= Each.m_Key && Each.m_Key <= Last &&
+        Now < Each.m_HeldUntil)
+      m_OnBreach(Server + " is given key " + std::to_string(Each.m_Key) +
+                 ", on which " + Each.m_Server +
+                 " is still at work; that one's hold would have lasted for " +
+                 std::to_string(std::chrono::duration_cast<Milliseconds>(
+                                    Each.m_HeldUntil - Now)
+                                    .count()) +
+                 " ms more");
+}
+
 std::map<std::string, std::vector<std::string>> Server::runs() {
   const std::lock_guard<std::mutex> Lock(m_Mutex);
   return m_Runs;
 }
 
-bool Server::holds(uint32_t Key) {
-  const TimePoint Now = SteadyClock::now();
-  return std::any_of(m_Holds.begin(), m_Holds.end(), [&](const Hold &Each) {
-    return Each.m_First <= Key && Key <= Each.m_Last && Now < Each.m_Expiry;
-  });
+TimePoint Server::heldUntil(uint32_t Key) const {
+  TimePoint Until{};
+  for (const Hold &Each : m_Holds)
+    if (Each.m_First <= Key && Key <= Each.m_Last)
+      Until = std::max(Until, Each.m_Expiry);
+  return Until;
 }
 
 void Server::serve(Connection &Peer) {
@@ -714,7 +753,8 @@
   --m_Waiting;
   if (!m_IsUp || Peer.isClosedByPeer())
     return "";
-  if (m_Config.m_IsSharded && (!HasKey || !holds(Key))) {
+  const TimePoint HeldUntil = heldUntil(Key);
+  if (m_Config.m_IsSharded && (!HasKey || HeldUntil <= SteadyClock::now())) {
     m_SlotFree.notify_one();
     return response(421, Rejected, "");
   }
@@ -722,8 +762,12 @@
   const std::string Start =
       Request.m_Start.substr(0, Request.m_Start.find(" HTTP"));
   m_Runs[*Id].push_back(Start);
+  const uint64_t Work = m_NextWork++;
+  const bool IsWatched = HasKey && m_Config.m_Watch;
+  const uint64_t Watched =
+      IsWatched ? m_Config.m_Watch->begin(m_Config.m_Id, Key, HeldUntil) : 0;
   if (HasKey)
-    m_KeysAtWork.insert(Key);
+    m_KeysAtWork[Work] = Key;
   const std::string Load = "X-Monsoonstand-Server-Load: " +
                            std::to_string(m_Running) + "," +
                            std::to_string(m_Waiting) + "," +
@@ -737,8 +781,9 @@
     std::this_thread::sleep_for(Milliseconds(2));
   Lock.lock();
   --m_Running;
-  if (HasKey)
-    m_KeysAtWork.erase(m_KeysAtWork.find(Key));
+  m_KeysAtWork.erase(Work);
+  if (IsWatched)
+    m_Config.m_Watch->end(Watched);
   m_SlotFree.notify_all();
   Lock.unlock();
   const std::string Fields =
@@ -768,13 +813,30 @@
   for (const Hold &Each : m_Seen)
     if (Overlaps(Each) && Each.m_Fence > Next.m_Fence)
       return response(409, Echo, "");
+  m_Seen.erase(std::remove_if(m_Seen.begin(), m_Seen.end(),
+                              [&Next](const Hold &Each) {
+                                return Next.m_First <= Each.m_First &&
+                                       Each.m_Last <= Next.m_Last &&
+                                       Each.m_Fence <= Next.m_Fence;
+                              }),
+               m_Seen.end());
   m_Seen.push_back(Next);
   m_Holds.erase(std::remove_if(m_Holds.begin(), m_Holds.end(),
                                [&](const Hold &Each) {
                                  return Each.m_Expiry <= Now;
                                }),
                 m_Holds.end());
+  const bool IsNew = std::none_of(
+      m_Holds.begin(), m_Holds.end(), [&Next](const Hold &Each) {
+        return Each.m_First <= Next.m_First && Next.m_Last <= Each.m_Last;
+      });
   m_Holds.push_back(Next);
+  if (IsNew)
+    m_Log.line("granted " + std::to_string(Next.m_First) + ".." +
+               std::to_string(Next.m_Last) + ", fence " +
+               std::to_string(Next.m_Fence) + " to " + m_Config.m_Id);
+  if (m_Config.m_Watch)
+    m_Config.m_Watch->noteGiven(m_Config.m_Id, Next.m_First, Next.m_Last);
   return response(200, Echo, "");
 }
 
@@ -797,10 +859,23 @@
       Kept.push_back({Last + 1, Each.m_Last, Each.m_Fence, Each.m_Expiry});
   }
   m_Holds = std::move(Kept);
+  // Answered when the work that runs now has ended; work that begins after a
+  // later grant of the same keys does not matter.
+  std::vector<uint64_t> Running;
+  for (const auto &[Work, Key] : m_KeysAtWork)
+    if (First <= Key && Key <= Last)
+      Running.push_back(Work);
+  const std::string What = "release of " + std::to_string(First) + ".." +
+                           std::to_string(Last) + ", fence " +
+                           Call["fence"].asString() + " at " + m_Config.m_Id;
+  m_Log.line(What + ", " + std::to_string(Running.size()) + " at work");
   m_SlotFree.wait(Lock, [&]() {
-    const auto Busy = m_KeysAtWork.lower_bound(First);
-    return !m_IsUp || Busy == m_KeysAtWork.end() || *Busy > Last;
+    return !m_IsUp ||
+           std::none_of(Running.begin(), Running.end(), [this](uint64_t Work) {
+             return m_KeysAtWork.count(Work) > 0;
+           });
   });
+  m_Log.line("answered: " + What);
   const std::string *Id = Request.find("X-Monsoonstand-Request-Id");
   return response(200,
                   (Id ? "X-Monsoonstand-Request-Id: " + *Id + "\r\n"
--- a/review/standin2/standins.h
+++ b/review/standin2/standins.h
@@ -173,6 +173,28 @@
   Listener m_Listener;
 };
 
+/// Watches which server is at work on which key.
+class KeyWatch {
+public:
+  /// Called when a server is given a key on which another one is still at work,
+  /// before that one's hold would have run out.
+  std::function<void(const std::string &Text)> m_OnBreach;
+
+  uint64_t begin(const std::string &Server, uint32_t Key, TimePoint HeldUntil);
+  void end(uint64_t Number);
+  void noteGiven(const std::string &Server, uint32_t First, uint32_t Last);
+
+private:
+  struct Work {
+    std::string m_Server;
+    uint32_t m_Key;
+    TimePoint m_HeldUntil;
+  };
+  std::mutex m_Mutex;
+  std::map<uint64_t, Work> m_Works;
+  uint64_t m_Next = 0;
+};
+
 /// What a server does with one request after it has run it.
 using Respond = std::function<void(Connection &, const Message &Request,
                                    const std::string &Answer)>;
@@ -191,6 +213,8 @@
     Milliseconds m_Work{120};
     /// Replaces the plain sending of the answer.
     Respond m_Respond;
+    /// Told of the server's work on keys if it is set.
+    KeyWatch *m_Watch = nullptr;
   };
 
   Server(Options Config, Store &Platform, Record &Log);
@@ -201,6 +225,11 @@
   bool isUp() const { return m_IsUp; }
   /// Method and target of each run, by the id of the request.
   std::map<std::string, std::vector<std::string>> runs();
+  const std::string &zone() const { return m_Config.m_Zone; }
+  /// Reports itself cold for so long.
+  void turnCold(Milliseconds Length);
+  /// The middle of the Number-th range that it holds; empty if it holds none.
+  std::optional<uint32_t> heldKey(size_t Number);
   std::atomic<int> m_WorkMs;
 
 private:
@@ -210,12 +239,13 @@
     uint64_t m_Fence;
     TimePoint m_Expiry;
   };
-  void beat();
+  void writeEntry(Milliseconds WarmupLeft);
   void serve(Connection &Peer);
   std::string run(Connection &Peer, const Message &Request, bool &HasRun);
   std::string grant(const Message &Request);
   std::string release(const Message &Request);
-  bool holds(uint32_t Key);
+  /// Until when it holds a key; in the past if it does not.
+  TimePoint heldUntil(uint32_t Key) const;
 
   const Options m_Config;
   Store &m_Store;
@@ -229,7 +259,10 @@
   std::map<std::string, std::vector<std::string>> m_Runs;
   std::vector<Hold> m_Holds;
   std::vector<Hold> m_Seen;
-  std::multiset<uint32_t> m_KeysAtWork;
+  std::atomic<int64_t> m_Sequence{0};
+  /// The running work on keys.
+  std::map<uint64_t, uint32_t> m_KeysAtWork;
+  uint64_t m_NextWork = 0;
   Listener m_Listener;
 };
 
