--- a/review/standin2/head.cpp
+++ b/review/standin2/head.cpp
@@ -78,8 +78,8 @@
     });
   bool WasLosing = false;
   while (SteadyClock::now() < Start + RunTime) {
-    const auto Elapsed = std::chrono::duration_cast<Milliseconds>(
-        SteadyClock::now() - Start);
+    const auto Elapsed =
+        std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - Start);
     LosesAnswers = Shared.hasTrouble() && Elapsed >= LossFrom &&
                    (Elapsed - LossFrom) % LossEvery < LossFor;
     if (LosesAnswers != WasLosing)
--- a/review/standin2/pipeline.cpp
+++ b/review/standin2/pipeline.cpp
@@ -17,7 +17,8 @@
 constexpr int LookupsPerRound = 200;
 constexpr Milliseconds LookupInterval{20};
 constexpr Milliseconds RunTime{40'000};
-/// Every second round, for 8 s, two fifths of the servers take 12 times as long.
+/// Every second round, for 8 s, two fifths of the servers take 12 times as
+/// long.
 constexpr Milliseconds SlowFrom{6000};
 constexpr Milliseconds SlowFor{8000};
 constexpr Milliseconds SlowEvery{16'000};
@@ -101,8 +102,8 @@
     });
   bool WasSlow = false;
   while (SteadyClock::now() < End) {
-    const auto Elapsed = std::chrono::duration_cast<Milliseconds>(
-        SteadyClock::now() - Start);
+    const auto Elapsed =
+        std::chrono::duration_cast<Milliseconds>(SteadyClock::now() - Start);
     const bool IsSlow = Shared.hasTrouble() && Elapsed >= SlowFrom &&
                         (Elapsed - SlowFrom) % SlowEvery < SlowFor;
     if (IsSlow != WasSlow) {
