--- a/review/standin2/scene.cpp
+++ b/review/standin2/scene.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <cstring>
 #include <fstream>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -56,8 +57,11 @@
       m_Folder(argument(Count, Arguments, 2)), m_HasTrouble(wantsTrouble()),
       m_Scratch(makeScratchFolder()), m_Record(m_Folder + "/record.txt") {
   std::signal(SIGPIPE, SIG_IGN);
-  for (const int Each : {SIGTERM, SIGINT, SIGALRM})
+  for (const int Each : {SIGTERM, SIGINT, SIGHUP, SIGQUIT, SIGALRM})
     std::signal(Each, endEverything);
+  // Set by a script that starts several of these.
+  if (std::getenv("REVIEW_END_WITH_PARENT"))
+    ::prctl(PR_SET_PDEATHSIG, SIGTERM);
   ::alarm(ScriptLimitSeconds);
   m_Watch.m_OnBreach = [this](const std::string &Text) {
     breach("OWNER: " + Text);
--- a/review/standin2/standins.cpp
+++ b/review/standin2/standins.cpp
@@ -4,8 +4,8 @@
 #include <fcntl.h>
 #include <netinet/tcp.h>
 #include <poll.h>
-#include <spawn.h>
 #include <strings.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -19,8 +19,6 @@
 #include <fstream>
 #include <sstream>
 
-extern char **environ;
-
 namespace review {
 
 namespace {
@@ -933,19 +931,27 @@
   std::string Option = "--gateway";
   char *Arguments[] = {Program.data(), Option.data(), Settings.data(), nullptr};
   const std::string Log = m_Folder + "/" + m_Name + ".log";
-  posix_spawn_file_actions_t Files;
-  posix_spawn_file_actions_init(&Files);
-  posix_spawn_file_actions_addopen(&Files, STDOUT_FILENO, Log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&Files, STDOUT_FILENO, STDERR_FILENO);
-  const int Error = ::posix_spawn(&m_Pid, Program.c_str(), &Files, nullptr,
-                                  Arguments, environ);
-  posix_spawn_file_actions_destroy(&Files);
-  if (Error != 0)
+  const int Parent = ::getpid();
+  m_Pid = ::fork();
+  if (m_Pid == 0) {
+    // Ends with the script, however that ends.
+    ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+    if (::getppid() != Parent)
+      ::_exit(2);
+    const int File =
+        ::open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    ::dup2(File, STDOUT_FILENO);
+    ::dup2(File, STDERR_FILENO);
+    ::signal(SIGPIPE, SIG_DFL);
+    ::execv(Program.c_str(), Arguments);
+    ::_exit(127);
+  }
+  if (m_Pid < 0) {
     m_Pid = 0;
-  else
-    replacePid(0, m_Pid);
-  return Error == 0;
+    return false;
+  }
+  replacePid(0, m_Pid);
+  return true;
 }
 
 bool EntryHost::isReady() const {
