Bytes that wait are kept apart from the storage of a pending read

Cause: CallerSession parsed and consumed its buffer while a read into the same buffer was pending. Consuming all of it moved its positions to the start, and the read's bytes were taken from there: the bytes of earlier requests.

Ruled out: answers written to the wrong slot (the handler already sees the wrong requests) and late answers of targets (the test has none).

ReadBuffer keeps the two apart and states that as its invariant, so no order of reads, parses and refusals can mix them. HttpLink uses it as well; it never consumed during a read. DatagramChannel copies each message first.

--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -107,7 +107,7 @@
   // After the last response the caller ends the connection, or CloseTimeout.
   if (m_IsClosed || m_IsClosing || !isIdle())
     return;
-  if (!m_IsReading) {
+  if (!m_Buffer.isReadPending()) {
     closeUnlessReadable();
     return;
   }
@@ -143,13 +143,13 @@
 }
 
 void CallerSession::startRead() {
-  if (m_IsReading || m_IsClosed || m_Buffer.size() >= ReadAheadBytes)
+  if (m_Buffer.isReadPending() || m_IsClosed ||
+      m_Buffer.size() >= ReadAheadBytes)
     return;
-  m_IsReading = true;
   m_Socket.async_read_some(
-      m_Buffer.prepare(ReadBytes),
+      m_Buffer.beginRead(ReadBytes),
       [Self = shared_from_this()](const error_code &Error, size_t Size) {
-        Self->m_IsReading = false;
+        Self->m_Buffer.endRead(Size);
         Self->received(Error, Size);
       });
 }
@@ -169,10 +169,9 @@
     handleDisconnect();
     return;
   }
-  m_Buffer.commit(Size);
   m_Registry.traffic().m_Received += Size;
   if (m_IsClosing) {
-    m_Buffer.consume(m_Buffer.size());
+    m_Buffer.clear();
     startRead();
     return;
   }
@@ -314,7 +313,7 @@
 
 void CallerSession::refuse(HttpResponse Response) {
   m_IsClosing = true;
-  m_Buffer.consume(m_Buffer.size());
+  m_Buffer.clear();
   const auto Current = std::make_shared<Slot>();
   Current->m_IsLast = true;
   m_Slots.push_back(Current);
@@ -382,7 +381,7 @@
     // response before the caller reads it.
     error_code Ignored;
     m_Socket.shutdown(asio::ip::tcp::socket::shutdown_send, Ignored);
-    m_Buffer.consume(m_Buffer.size());
+    m_Buffer.clear();
     startRead();
     armTimer();
     return;
--- a/src/net/callersession.h
+++ b/src/net/callersession.h
@@ -1,13 +1,13 @@
 #ifndef MONSOON_NET_CALLERSESSION_H
 #define MONSOON_NET_CALLERSESSION_H
 
+#include "net/readbuffer.h"
 #include "net/requesthandler.h"
 #include "net/trafficcount.h"
 #include "ports/clock.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -105,12 +105,11 @@
   RequestHandler &m_Handler;
   SessionRegistry &m_Registry;
 
-  boost::beast::flat_buffer m_Buffer;
+  ReadBuffer m_Buffer;
   std::optional<Parser> m_Parser;
   std::deque<std::shared_ptr<Slot>> m_Slots;
   std::vector<std::string> m_Output;
   RequestLimits m_Limits;
-  bool m_IsReading = false;
   /// closeIfIdle() has cancelled the pending read.
   bool m_IsReadCancelled = false;
   bool m_IsWriting = false;
--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -196,8 +196,9 @@
 void HttpLink::startRead() {
   const bool InBody = m_Parser && m_Parser->is_header_done();
   m_Socket.async_read_some(
-      m_Buffer.prepare(InBody ? BodyReadBytes : ReadBytes),
+      m_Buffer.beginRead(InBody ? BodyReadBytes : ReadBytes),
       [Self = shared_from_this()](const error_code &Error, size_t Size) {
+        Self->m_Buffer.endRead(Size);
         Self->received(Error, Size);
       });
 }
@@ -209,7 +210,6 @@
     handleReadError(Error);
     return;
   }
-  m_Buffer.commit(Size);
   if (m_Config.m_Traffic)
     m_Config.m_Traffic->m_Received += Size;
   if (m_State != State::Busy) {
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -4,13 +4,13 @@
 #include "core/httpmessage.h"
 #include "core/settings.h"
 #include "net/bytebudget.h"
+#include "net/readbuffer.h"
 #include "net/trafficcount.h"
 #include "ports/clock.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -170,7 +170,7 @@
   /// When the first byte of the response arrived.
   std::optional<TimePoint> m_ResponseStart;
   Done m_Done;
-  boost::beast::flat_buffer m_Buffer;
+  ReadBuffer m_Buffer;
   std::optional<Parser> m_Parser;
   /// Bytes taken from the common budget.
   size_t m_TakenBytes = 0;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -42,6 +42,8 @@
 constexpr uint64_t LongestAwayMs = 3000;
 constexpr int ExtraCallers = 48;
 constexpr int FirstExtraCaller = 0x1000;
+constexpr int PipeliningCallers = 3;
+constexpr int FirstPipeliningCaller = 0x2000;
 /// A host that gets only part of the processor's time waits and runs in turn.
 /// Hosts of the platform that lost requests acted up to 459 ms late.
 constexpr uint64_t MinHeldMs = 40;
@@ -520,6 +522,8 @@
 
 void Soak::clearFaults() {
   m_IsRecovering = true;
+  for (const auto &Each : m_PipeliningCallers)
+    Each->stop();
   m_Store.m_IsUnavailable = false;
   m_Store.m_AnswersToLose = 0;
   m_StoreStableAt = std::max(m_StoreStableAt, std::chrono::steady_clock::now());
@@ -583,7 +587,12 @@
   for (int Number = 0; Number < ExtraCallers; ++Number)
     m_ExtraCallers.push_back(std::make_unique<SoakCaller>(
         FirstExtraCaller + Number, Number % 2 == 0, Parts));
+  for (int Number = 0; Number < PipeliningCallers; ++Number)
+    m_PipeliningCallers.push_back(std::make_unique<PipeliningCaller>(
+        FirstPipeliningCaller + Number, Parts));
   const double RateBefore = measureSuccessRate(MeasureTime);
+  for (const auto &Each : m_PipeliningCallers)
+    Each->start();
   schedule(Milliseconds(1), [this]() { injectFault(); });
   schedule(Milliseconds(500 + randomBelow(1500)), [this]() { playIncident(); });
   runLoopFor(m_Settings.m_FaultDuration);
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -2,6 +2,7 @@
 #define MONSOON_TESTS_SOAK_SOAK_H
 
 #include "soak/hostprocess.h"
+#include "soak/pipeliningcaller.h"
 #include "soak/soakcaller.h"
 #include "soak/soakserver.h"
 
@@ -119,6 +120,8 @@
   std::vector<std::unique_ptr<SoakCaller>> m_Callers;
   /// Callers who come only during overlapping stops.
   std::vector<std::unique_ptr<SoakCaller>> m_ExtraCallers;
+  /// Callers who send ahead, while faults are injected.
+  std::vector<std::unique_ptr<PipeliningCaller>> m_PipeliningCallers;
   boost::asio::steady_timer m_HostTimer;
   boost::asio::steady_timer m_DelayTimer;
   TimePoint m_StartedAt;
