--- a/src/entry/dispatcher.cpp
+++ b/src/entry/dispatcher.cpp
@@ -283,6 +283,13 @@
   return Started;
 }
 
+std::vector<RetryUse> Dispatcher::retryUse() const {
+  std::vector<RetryUse> Result;
+  for (const auto &[Name, Each] : m_Pools)
+    Result.push_back(Each->retryUse());
+  return Result;
+}
+
 std::map<std::string, int> Dispatcher::waitingByOwner() const {
   std::map<std::string, int> Result;
   for (const auto &[Name, Each] : m_Pools)
--- a/src/entry/dispatcher.h
+++ b/src/entry/dispatcher.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace monsoon {
 
@@ -60,6 +61,9 @@
   /// Number of requests queued here for each key owner, by its target id.
   std::map<std::string, int> waitingByOwner() const;
 
+  /// Use of the retry allowances of all pools.
+  std::vector<RetryUse> retryUse() const;
+
   // RequestHandler
   std::shared_ptr<PendingRequest> handle(HttpRequest Request,
                                          Reply Done) override;
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -71,6 +71,7 @@
     Forwarded.m_Fields.add("Content-Length", std::to_string(m_Body->size()));
   Forwarded.m_HasBody = false;
 
+  m_HoldsRetry = false;
   m_SentAt = m_Clock.now();
   m_SlowAt = SlowAfter.count() > 0 ? m_SentAt + SlowAfter : TimePoint{};
   m_Target = Target;
--- a/src/entry/exchange.h
+++ b/src/entry/exchange.h
@@ -105,6 +105,24 @@
   /// Target of the last send, or null.
   const TargetNodePtr &target() const { return m_Target; }
 
+  /// Notes that a retry has been reserved for the request, and why it is sent
+  /// again.
+  void reserveRetry(const char *Reason) {
+    m_HoldsRetry = true;
+    m_RetryReasons.push_back(Reason);
+  }
+  /// The retry that was sent last has not reached its target.
+  void restoreRetry() { m_HoldsRetry = true; }
+  /// True if a retry is reserved that was not sent yet.
+  bool holdsRetry() const { return m_HoldsRetry; }
+  /// Why the request was sent again, one reason for each retry.
+  const std::vector<const char *> &retryReasons() const {
+    return m_RetryReasons;
+  }
+  /// Notes that a retry was denied since the allowance was used up.
+  void noteRetryDenied() { m_WasRetryDenied = true; }
+  bool wasRetryDenied() const { return m_WasRetryDenied; }
+
   /// Sends that a target may have received.
   int sendCount() const { return m_SendCount; }
   /// Sends that certainly did not reach a target.
@@ -124,8 +142,8 @@
   TimePoint notBefore() const { return m_NotBefore; }
   void setNotBefore(TimePoint Value) { m_NotBefore = Value; }
 
-  /// Sends the request to a target. attemptSlow() is called after SlowAfter;
-  /// with zero it is not called.
+  /// Sends the request to a target, and with it a reserved retry. attemptSlow()
+  /// is called after SlowAfter; with zero it is not called.
   void send(const TargetNodePtr &Target, Milliseconds SlowAfter);
   /// Ends the send in flight by closing its connection, without attemptDone().
   void abandonSend();
@@ -177,6 +195,9 @@
   int m_SendCount = 0;
   int m_UnreachableCount = 0;
   bool m_MayHaveRun = false;
+  bool m_HoldsRetry = false;
+  bool m_WasRetryDenied = false;
+  std::vector<const char *> m_RetryReasons;
   std::optional<HttpResponse> m_LastFailure;
 };
 
--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -5,6 +5,7 @@
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
+#include "absl/strings/str_join.h"
 
 #include <algorithm>
 #include <utility>
@@ -53,6 +54,10 @@
           !Outcome.m_Answer.m_Fields.find("Content-Encoding"));
 }
 
+const char *lossReason(LinkResult Result) {
+  return Result == LinkResult::Lost ? "answer_lost" : "answer_garbled";
+}
+
 Duration scaled(Duration Length, double Factor) {
   return std::chrono::duration_cast<Duration>(Length * Factor);
 }
@@ -81,7 +86,7 @@
 PoolDispatcher::PoolDispatcher(std::string Name, const Parts &Shared)
     : m_Name(std::move(Name)), m_Parts(Shared),
       m_TypicalServiceTime(InitialServiceTime),
-      m_Retries(Shared.m_Limits.m_Retries) {}
+      m_Retries(Shared.m_Limits.m_Retries, Shared.m_Clock.now()) {}
 
 void PoolDispatcher::submit(const ExchangePtr &Request) {
   m_Retries.noteRequest(m_Parts.m_Clock.now());
@@ -277,10 +282,20 @@
   if (hasDisconnected(*Request))
     m_Disconnected.push_back(Request);
   else
-    Request->send(Target, slowAfter(*Request, *Target));
+    send(Request, Target, slowAfter(*Request, *Target));
   return true;
 }
 
+void PoolDispatcher::send(const ExchangePtr &Request,
+                          const TargetNodePtr &Target, Milliseconds SlowAfter) {
+  if (Request->holdsRetry()) {
+    m_Retries.noteSent(m_Parts.m_Clock.now());
+    if (!Request->retryReasons().empty())
+      ++m_RetriesSent[Request->retryReasons().back()];
+  }
+  Request->send(Target, SlowAfter);
+}
+
 bool PoolDispatcher::hasDisconnected(const Exchange &Request) const {
   const TimePoint Now = m_Parts.m_Clock.now();
   const bool IsCheckDue =
@@ -401,6 +416,11 @@
     Target->load().noteUnreachable(Now);
     if (Request->isFinished())
       break;
+    // It was a retry, which the target has not got.
+    if (Request->sendCount() > 0) {
+      m_Retries.noteNotSent(Request->sentAt());
+      Request->restoreRetry();
+    }
     if (Request->unreachableCount() >= MaxUnreachable)
       failRequest(Request, ErrorKind::AnswerLost, "targets_unreachable");
     else
@@ -411,12 +431,11 @@
     Target->load().noteLost(Now, true);
     if (Request->isFinished())
       break;
-    if (Request->isIdempotent() && trySpendRetry(*Request))
+    if (Request->isIdempotent() &&
+        tryReserveRetry(*Request, lossReason(Outcome.m_Result)))
       dispatchOrQueue(Request);
     else
-      failRequest(Request, ErrorKind::AnswerLost,
-                  Outcome.m_Result == LinkResult::Lost ? "answer_lost"
-                                                       : "answer_garbled");
+      failRequest(Request, ErrorKind::AnswerLost, lossReason(Outcome.m_Result));
     break;
   }
   dispatchWaiting();
@@ -450,7 +469,9 @@
                                    AttemptOutcome Outcome) {
   const bool Trusted = isTrustworthy(Outcome);
   const bool Retryable = !Trusted || Outcome.m_Answer.m_Status >= 500;
-  if (Retryable && Request->isIdempotent() && trySpendRetry(*Request)) {
+  if (Retryable && Request->isIdempotent() &&
+      tryReserveRetry(*Request,
+                      Trusted ? "target_failed" : "answer_unsigned")) {
     if (Trusted)
       Request->setLastFailure(std::move(Outcome.m_Answer));
     dispatchOrQueue(Request);
@@ -468,19 +489,42 @@
                                      bool WrongOwner) {
   if (WrongOwner)
     Request->setNotBefore(m_Parts.m_Clock.now() + WrongOwnerPause);
-  if (trySpendRetry(*Request))
+  const char *Reason = WrongOwner ? "wrong_owner" : "target_refused";
+  if (tryReserveRetry(*Request, Reason))
     dispatchOrQueue(Request);
   else if (Request->mayHaveRun())
     failRequest(Request, ErrorKind::AnswerLost, "refused_after_loss");
   else
-    refuse(Request, WrongOwner ? "wrong_owner" : "target_refused");
+    refuse(Request, Reason);
 }
 
-bool PoolDispatcher::trySpendRetry(const Exchange &Request) {
+bool PoolDispatcher::tryReserveRetry(Exchange &Request, const char *Reason) {
   if (Request.sendCount() >= Request.route().maxAttempts() ||
       Request.timeLeft() < m_TypicalServiceTime)
     return false;
-  return m_Retries.spend(m_Parts.m_Clock.now(), m_Parts.m_Hosts.hosts());
+  if (!m_Retries.reserve(m_Parts.m_Clock.now(), retryShare())) {
+    Request.noteRetryDenied();
+    return false;
+  }
+  Request.reserveRetry(Reason);
+  return true;
+}
+
+RetryShare PoolDispatcher::retryShare() const {
+  const Duration Window = m_Retries.allowance().m_Window;
+  return {m_Parts.m_RetryShare.windowShare(Window),
+          m_Parts.m_RetryShare.newHosts(Window)};
+}
+
+RetryUse PoolDispatcher::retryUse() {
+  const TimePoint Now = m_Parts.m_Clock.now();
+  RetryUse Result;
+  Result.m_Pool = m_Name;
+  Result.m_Allowed = m_Retries.allowed(Now, retryShare());
+  Result.m_Spent = m_Retries.spent(Now);
+  Result.m_Denied = m_Retries.denied();
+  Result.m_SentByReason = m_RetriesSent;
+  return Result;
 }
 
 void PoolDispatcher::failRequest(const ExchangePtr &Request,
@@ -543,11 +587,11 @@
     return;
   }
   const TargetNodePtr Other = chooseTarget(*Request);
-  if (!Other || !trySpendRetry(*Request))
+  if (!Other || !tryReserveRetry(*Request, "target_slow"))
     return;
   Request->abandonSend();
   Request->target()->load().noteLost(m_Parts.m_Clock.now(), true);
-  Request->send(Other, Milliseconds(0));
+  send(Request, Other, Milliseconds(0));
 }
 
 void PoolDispatcher::callerDisconnected(const ExchangePtr &Request) {
@@ -634,6 +678,8 @@
 void PoolDispatcher::requestFinished(const Exchange &Request, int Status,
                                      const char *Reason) {
   --m_Unfinished;
+  if (Request.holdsRetry())
+    m_Retries.giveBack();
   const RequestCustomer &Sender = Request.customer();
   if (Sender.m_UsesAllowance && Sender.m_Customer && !Request.mayHaveRun())
     m_Parts.m_Allowances->giveBack(m_Parts.m_Clock.now(), *Sender.m_Customer);
@@ -651,6 +697,8 @@
   Report.m_ConfigVersion = Request.configVersion();
   Report.m_Config = Request.configView();
   Report.m_Attempts = Request.sendCount();
+  Report.m_RetryReasons = absl::StrJoin(Request.retryReasons(), ",");
+  Report.m_WasRetryDenied = Request.wasRetryDenied();
   const TimePoint Now = m_Parts.m_Clock.now();
   Report.m_Elapsed = Now - Request.arrivedAt();
   if (Request.sendCount() > 0)
--- a/src/entry/pooldispatcher.h
+++ b/src/entry/pooldispatcher.h
@@ -14,6 +14,7 @@
 #include "policy/poolqueue.h"
 #include "policy/retrywindow.h"
 #include "policy/targetchooser.h"
+#include "ports/limitshare.h"
 #include "ports/metricssink.h"
 
 #include <map>
@@ -24,6 +25,17 @@
 
 namespace monsoon {
 
+/// Use of a pool's retry allowance by this host; see RetryWindow.
+struct RetryUse {
+  std::string m_Pool;
+  /// In the window that ends now.
+  double m_Allowed = 0;
+  int64_t m_Spent = 0;
+  /// Since the start of the process.
+  int64_t m_Denied = 0;
+  std::map<std::string, int64_t> m_SentByReason;
+};
+
 /// Limits that apply to the total over all entry hosts.
 struct SharedLimits {
   RetryAllowance m_Retries;
@@ -55,8 +67,9 @@
 /// Retries: a request that certainly has not run may be sent again; one that
 /// may have run only if it is idempotent. A retry needs an attempt left on the
 /// route, enough time left, and a retry from the allowance that all hosts
-/// share. After a failure to reach a target it needs none of these; such
-/// failures have a limit of their own.
+/// share, which is reserved before the request is queued and counts as spent
+/// when it is sent. After a failure to reach a target it needs none of these;
+/// such failures have a limit of their own.
 ///
 /// Outcome: a request is refused as not run (TargetsBusy) only if no target may
 /// have run it; else the caller gets the last target's failure or an error kind
@@ -67,6 +80,8 @@
     const Clock &m_Clock;
     TargetRegistry &m_Targets;
     HostMembership &m_Hosts;
+    /// This host's part of the retry slack.
+    const LimitShare &m_RetryShare;
     MetricsSink &m_Metrics;
     std::string m_HostName;
     std::string m_FailureDomain;
@@ -110,6 +125,8 @@
   /// ordinary speed without queueing.
   Duration typicalServiceTime() const { return m_TypicalServiceTime; }
 
+  RetryUse retryUse();
+
   // Exchange::Listener
   void attemptDone(const ExchangePtr &Request, const TargetNodePtr &Target,
                    AttemptOutcome Outcome) override;
@@ -173,9 +190,13 @@
   void processAnswer(const ExchangePtr &Request, AttemptOutcome Outcome);
   /// Retries or refuses a request that the target stated it did not run.
   void retryUnexecuted(const ExchangePtr &Request, bool WrongOwner);
-  /// Takes one retry from the allowance; false if the request may not be sent
-  /// again.
-  bool trySpendRetry(const Exchange &Request);
+  /// Reserves one retry of the allowance for the request; false if it may not
+  /// be sent again. Reason says why it would be.
+  bool tryReserveRetry(Exchange &Request, const char *Reason);
+  RetryShare retryShare() const;
+  /// Sends the request, and counts a retry that is reserved for it as sent.
+  void send(const ExchangePtr &Request, const TargetNodePtr &Target,
+            Milliseconds SlowAfter);
   /// Ends a request without success: refuses it if it has not run, else passes
   /// on the last failure of a target or answers with KindIfSent.
   void failRequest(const ExchangePtr &Request, ErrorKind KindIfSent,
@@ -201,6 +222,7 @@
   /// Requests to be cancelled, since their callers have disconnected.
   std::vector<ExchangePtr> m_Disconnected;
   RetryWindow m_Retries;
+  std::map<std::string, int64_t> m_RetriesSent;
   /// Moving average of the body bytes of a request and its answer.
   double m_MeanBytes = 0;
   /// Queued requests by target id of the owner; the empty id holds those
--- a/src/membership/hostmembership.cpp
+++ b/src/membership/hostmembership.cpp
@@ -2,6 +2,7 @@
 
 #include "core/keyspace.h"
 
+#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 #include <algorithm>
@@ -37,6 +38,10 @@
 constexpr Milliseconds MembersGossipWait{1200};
 constexpr Milliseconds LastMembersGossipWait{3000};
 constexpr size_t MembersReaders = 3;
+/// After this time all members have joined in the present generation, or their
+/// lapse has begun another one. Until then the list may lack new members, as a
+/// duty has no holder before its former one has joined.
+constexpr Milliseconds SettlingTime{1300};
 /// In a large group, time until all others count a new host.
 constexpr Milliseconds ArrivalDelay{3500};
 /// A host that is no longer listed may keep sending for as long as it considers
@@ -44,14 +49,34 @@
 constexpr Milliseconds DepartureGrace{6000};
 /// A host whose joins have not been confirmed for this long uses no share.
 constexpr Milliseconds IsolationTimeout{3000};
+/// The same for limits on windows. The others count such a host out after the
+/// lease of its last join and DepartureGrace together, at the earliest.
+constexpr Milliseconds WindowIsolationTimeout{7000};
 
 /// Separates the name of a machine from that of its process in a host's name.
 constexpr char ProcessSeparator = '#';
+/// Ends the start of a process in its name.
+constexpr char StartSeparator = '.';
+constexpr size_t StartDigits = 8;
+/// The machines' clocks differ by up to so much.
+constexpr std::chrono::seconds ClockDifference{2};
 
 std::string machineOf(const std::string &Host) {
   return Host.substr(0, Host.find(ProcessSeparator));
 }
 
+/// The start in a name made by processName(), in seconds since the epoch.
+std::optional<int64_t> startOf(const std::string &Host) {
+  const size_t At = Host.find(ProcessSeparator);
+  if (At == std::string::npos || Host.size() <= At + StartDigits + 1 ||
+      Host[At + StartDigits + 1] != StartSeparator)
+    return std::nullopt;
+  int64_t Seconds = 0;
+  if (!absl::SimpleHexAtoi(Host.substr(At + 1, StartDigits), &Seconds))
+    return std::nullopt;
+  return Seconds;
+}
+
 /// The names without those of processes that have a successor: the machine of
 /// one that is not listed any more runs another one that is.
 std::set<std::string> newestProcesses(const std::string &Self,
@@ -72,10 +97,19 @@
 
 } // namespace
 
+std::string processName(const std::string &Machine, int64_t StartSeconds,
+                        uint32_t Number) {
+  return absl::StrCat(Machine, std::string(1, ProcessSeparator),
+                      absl::Hex(StartSeconds, absl::kZeroPad8),
+                      std::string(1, StartSeparator),
+                      absl::Hex(Number, absl::kZeroPad8));
+}
+
 HostMembership::HostMembership(std::string Host, HostGroup &Group,
                                const Clock &Time, EventSink &Events)
-    : m_Host(std::move(Host)), m_Group(Group), m_Clock(Time), m_Events(Events),
-      m_LimitShare(m_Host, {}, false), m_LivingShare(m_Host, {}, false) {}
+    : m_Host(std::move(Host)), m_Start(Time.now()), m_Group(Group),
+      m_Clock(Time), m_Events(Events), m_LimitShare(m_Host, {}, false),
+      m_LivingShare(m_Host, {}, false) {}
 
 void HostMembership::tick() {
   const TimePoint Now = m_Clock.now();
@@ -162,14 +196,23 @@
       m_NextMembersRequest = m_Clock.now() + MembersRetryDelay;
       return;
     }
+    const bool IsNewGeneration = Generation != m_MembersGeneration;
     adoptMembers(Result.value(), Generation);
+    if (IsNewGeneration)
+      m_NextMembersRequest =
+          std::min(m_NextMembersRequest, m_Clock.now() + SettlingTime);
     if (isLarge())
       m_MembersToSend = MemberList{Generation, m_Members};
   });
 }
 
 void HostMembership::applyPeerMembers(const MemberList &Members) {
-  if (m_HasLeft || Members.m_Generation <= m_MembersGeneration)
+  const bool IsNews =
+      Members.m_Generation > m_MembersGeneration ||
+      (Members.m_Generation == m_MembersGeneration &&
+       !std::includes(m_Members.begin(), m_Members.end(),
+                      Members.m_Names.begin(), Members.m_Names.end()));
+  if (m_HasLeft || !IsNews)
     return;
   adoptMembers(Members.m_Names, Members.m_Generation);
   const TimePoint Now = m_Clock.now();
@@ -181,6 +224,9 @@
 
 void HostMembership::adoptMembers(std::set<std::string> Names,
                                   uint64_t Generation) {
+  // Of two lists of one generation each may lack members.
+  if (Generation == m_MembersGeneration)
+    Names.insert(m_Members.begin(), m_Members.end());
   m_Members = std::move(Names);
   m_HasBeenListed = m_HasBeenListed ||
                     std::any_of(m_Members.begin(), m_Members.end(),
@@ -202,20 +248,61 @@
   refreshLimitShare(Now);
 }
 
+bool HostMembership::isCounted(TimePoint Now, Duration Timeout) const {
+  return m_FirstMembersAt != TimePoint{} && m_LastJoin != TimePoint{} &&
+         Now - m_LastJoin < Timeout &&
+         (!isLarge() || Now - m_FirstMembersAt >= ArrivalDelay);
+}
+
+double HostMembership::windowShare(Duration Window) const {
+  const TimePoint Now = m_Clock.now();
+  // The last tick may be long ago.
+  if (m_HasLeft || !isCounted(Now, WindowIsolationTimeout))
+    return 0;
+  return m_WindowShares.smallest(Now - Window);
+}
+
+double HostMembership::newHosts(Duration Window) const {
+  const auto OwnStart = startOf(m_Host);
+  if (!OwnStart || !m_HasBeenListed)
+    return 1;
+  // Only the starts are compared, so that a clock that is set while the
+  // processes run makes no difference.
+  const Duration SinceStart = m_Clock.now() - m_Start;
+  const auto Earliest =
+      std::chrono::seconds(*OwnStart) +
+      std::chrono::duration_cast<std::chrono::seconds>(SinceStart - Window) -
+      ClockDifference;
+  const std::set<std::string> &Names = m_LivingShare.names();
+  const auto New = std::count_if(
+      Names.begin(), Names.end(), [Earliest](const std::string &Each) {
+        const auto Start = startOf(Each);
+        return !Start || std::chrono::seconds(*Start) >= Earliest;
+      });
+  return static_cast<double>(New) / static_cast<double>(Names.size());
+}
+
 void HostMembership::refreshLimitShare(TimePoint Now) {
-  const bool IsConfirmed =
-      m_FirstMembersAt != TimePoint{} && m_LastJoin != TimePoint{} &&
-      Now - m_LastJoin < IsolationTimeout &&
-      (!isLarge() || Now - m_FirstMembersAt >= ArrivalDelay);
+  const bool IsConfirmed = isCounted(Now, IsolationTimeout);
   std::set<std::string> Names{m_Host};
   for (const auto &[Host, Until] : m_CountedUntil)
     Names.insert(Host);
   HostShare Living(m_Host, newestProcesses(m_Host, m_Members, Names),
                    IsConfirmed);
+  // The successor of a process gets no part of a window that its predecessor
+  // may have used, so the two count as one.
+  m_WindowShares.note(Now, isCounted(Now, WindowIsolationTimeout)
+                               ? 1 / static_cast<double>(Living.hosts())
+                               : 0);
   if (Living != m_LivingShare)
     m_LivingShare = std::move(Living);
   if (IsConfirmed == m_LimitShare.isConnected() && Names == names())
     return;
+  if (Names.size() != hosts() || IsConfirmed != m_LimitShare.isConnected())
+    m_Events.event(Severity::Info, "hosts_counted",
+                   {{"hosts", absl::StrCat(Names.size())},
+                    {"listed", absl::StrCat(m_Members.size())},
+                    {"confirmed", IsConfirmed ? "yes" : "no"}});
   m_LimitShare = HostShare(m_Host, std::move(Names), IsConfirmed);
 }
 
--- a/src/membership/hostmembership.h
+++ b/src/membership/hostmembership.h
@@ -3,10 +3,12 @@
 
 #include "core/hostreport.h"
 #include "core/hostshare.h"
+#include "core/sharehistory.h"
 #include "ports/clock.h"
 #include "ports/eventsink.h"
 #include "ports/hostgroup.h"
 #include "ports/leasesource.h"
+#include "ports/limitshare.h"
 
 #include <map>
 #include <memory>
@@ -17,6 +19,12 @@
 
 namespace monsoon {
 
+/// Returns the name of a process that starts on a machine. It holds the start,
+/// in seconds since the epoch, and a number by which processes differ that
+/// start in the same second.
+std::string processName(const std::string &Machine, int64_t StartSeconds,
+                        uint32_t Number);
+
 /// Membership of this host in the group of entry hosts: the duties that it
 /// holds and until when, and the names of the other hosts.
 ///
@@ -26,12 +34,16 @@
 /// host that is no longer listed keeps its share for 6 s, since it may not have
 /// noticed yet.
 ///
+/// The members are read when the generation has changed, and again when all of
+/// them must have joined in it. Logs hosts_counted.
+///
 /// Among many hosts, one that holds no lease joins less often, and one host
 /// reads the members after a change and gossips them to the others. A new host
 /// then has no share until the others count it.
-class HostMembership : public LeaseSource {
+class HostMembership : public LeaseSource, public LimitShare {
 public:
   /// Host is the name of this process; a restarted process needs another one.
+  /// Made by processName(), it tells the others when the process started.
   HostMembership(std::string Host, HostGroup &Group, const Clock &Time,
                  EventSink &Events);
 
@@ -77,6 +89,12 @@
   TimePoint confirmedAt() const override { return m_LastJoin; }
   Milliseconds longestLease() const override;
 
+  // LimitShare. The others use what is left by a host that has lost contact
+  // only a window after they have counted it out, so a host keeps its part for
+  // 7 s without a confirmed join.
+  double windowShare(Duration Window) const override;
+  double newHosts(Duration Window) const override;
+
   /// True among so many hosts that not all of them exchange all reports.
   bool isLarge() const;
 
@@ -89,10 +107,14 @@
   void adoptMembers(std::set<std::string> Names, uint64_t Generation);
   void refreshCountedHosts(TimePoint Now);
   void refreshLimitShare(TimePoint Now);
+  /// True if the others count this host, unless it had no confirmed join for
+  /// Timeout.
+  bool isCounted(TimePoint Now, Duration Timeout) const;
   Milliseconds joinInterval() const;
   bool holdsDuty(const std::string &Name) const;
 
   const std::string m_Host;
+  const TimePoint m_Start;
   HostGroup &m_Group;
   const Clock &m_Clock;
   EventSink &m_Events;
@@ -105,6 +127,7 @@
   std::set<std::string> m_LeaseNames;
   HostShare m_LimitShare;
   HostShare m_LivingShare;
+  ShareHistory m_WindowShares;
   /// Expiry of each counted host. Hosts that are no longer listed are counted
   /// for some time, since they may not have noticed yet.
   std::map<std::string, TimePoint> m_CountedUntil;
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -113,7 +113,11 @@
 std::string newHostId(const GatewaySettings &Config) {
   std::random_device Source;
   return absl::StrCat(
-      Config.m_Host, "#", absl::Hex(Source(), absl::kZeroPad8),
+      processName(Config.m_Host,
+                  std::chrono::duration_cast<std::chrono::seconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count(),
+                  Source()),
       std::string(1, LinkSeparator), static_cast<int64_t>(Config.m_LinkMbps),
       std::string(1, DomainSeparator), Config.m_FailureDomain,
       std::string(1, PeerAddressSeparator), endpointText(Config.m_Peers));
@@ -175,7 +179,7 @@
                     {m_Time, m_Store, m_Grants, m_Hosts, m_Events}, m_Targets),
         m_Dispatcher(
             m_Loop, m_Dialect,
-            {m_Time, m_Targets, m_Hosts, m_Metrics, Config.m_Host,
+            {m_Time, m_Targets, m_Hosts, m_Hosts, m_Metrics, Config.m_Host,
              Config.m_FailureDomain, sharedLimits(Config), &m_Allowances,
              &m_HostLoad, &m_Currency},
             [this](const std::string &Pool) { return m_Ownership.find(Pool); }),
@@ -304,6 +308,9 @@
                         {"log", m_Store.traffic()},
                         {"gossip", m_PeerChannel.traffic()}};
     Result.m_Allowances = m_Allowances.use(Now);
+    Result.m_Hosts = m_Hosts.hosts();
+    Result.m_RetrySlackShare = m_Hosts.windowShare(m_Settings.m_RetryWindow);
+    Result.m_Retries = m_Dispatcher.retryUse();
     return Result;
   }
 
--- a/src/monsoonstand/hostmetrics.cpp
+++ b/src/monsoonstand/hostmetrics.cpp
@@ -32,13 +32,31 @@
                       "\",direction=\"", Direction, "\"} ", Bytes, "\n");
 }
 
+std::string escapeLabel(const std::string &Value) {
+  return absl::StrReplaceAll(Value, {{"\\", "\\\\"}, {"\"", "\\\""}});
+}
+
+void addRetries(std::string &Text, const HostFigures &Figures) {
+  addGauge(Text, "monsoon_hosts_counted", Figures.m_Hosts);
+  addGauge(Text, "monsoon_retry_slack_share", Figures.m_RetrySlackShare);
+  for (const RetryUse &Each : Figures.m_Retries) {
+    const std::string Pool =
+        absl::StrCat("{pool=\"", escapeLabel(Each.m_Pool), "\"");
+    absl::StrAppend(&Text, "monsoon_retries_allowed", Pool, "} ",
+                    Each.m_Allowed, "\nmonsoon_retries_spent", Pool, "} ",
+                    Each.m_Spent, "\nmonsoon_retries_denied_total", Pool, "} ",
+                    Each.m_Denied, "\n");
+    for (const auto &[Reason, Count] : Each.m_SentByReason)
+      absl::StrAppend(&Text, "monsoon_retries_sent_total", Pool, ",reason=\"",
+                      Reason, "\"} ", Count, "\n");
+  }
+}
+
 void addAllowances(std::string &Text, const std::vector<AllowanceUse> &Used) {
   for (size_t Index = 0; Index < std::min(Used.size(), MaxCustomers); ++Index) {
     const AllowanceUse &Each = Used[Index];
-    const std::string Label = absl::StrCat(
-        "{customer=\"",
-        absl::StrReplaceAll(Each.m_Customer, {{"\\", "\\\\"}, {"\"", "\\\""}}),
-        "\"} ");
+    const std::string Label =
+        absl::StrCat("{customer=\"", escapeLabel(Each.m_Customer), "\"} ");
     absl::StrAppend(&Text, "monsoon_allowance_admitted_total", Label,
                     Each.m_Admitted, "\nmonsoon_allowance_refused_total", Label,
                     Each.m_Refused, "\nmonsoon_allowance_share_per_second",
@@ -76,6 +94,7 @@
                   Figures.m_LogCalls, "\n");
   addTraffic(Text, Figures.m_Traffic);
   addAllowances(Text, Figures.m_Allowances);
+  addRetries(Text, Figures);
   return Text;
 }
 
--- a/src/monsoonstand/hostmetrics.h
+++ b/src/monsoonstand/hostmetrics.h
@@ -3,6 +3,7 @@
 
 #include "core/configview.h"
 #include "customer/allowancegate.h"
+#include "entry/pooldispatcher.h"
 #include "net/trafficcount.h"
 #include "policy/hostload.h"
 
@@ -35,6 +36,11 @@
   /// By kind of traffic: callers, targets, log, gossip.
   std::map<std::string, TrafficCount> m_Traffic;
   std::vector<AllowanceUse> m_Allowances;
+  /// Entry hosts that this host counts, itself included.
+  size_t m_Hosts = 0;
+  /// This host's part of the retry slack, 0 to 1.
+  double m_RetrySlackShare = 0;
+  std::vector<RetryUse> m_Retries;
 };
 
 /// Returns the figures in the Prometheus text format.
--- a/src/policy/retrywindow.cpp
+++ b/src/policy/retrywindow.cpp
@@ -6,38 +6,55 @@
 
 namespace {
 
-/// Fraction of the allowance that is used. The rest is a margin, since the
-/// hosts' clocks differ and requests don't divide evenly among the hosts.
+/// Fraction of the allowance that is used. The rest is a margin for the time
+/// from a send to its arrival, and for windows in which the requests of the
+/// hosts rise and fall at different times.
 constexpr double UsedFraction = 0.8;
+/// Fraction of the whole allowance that all hosts in their first window use
+/// together.
+constexpr double NewHostsFraction = 0.15;
 
 } // namespace
 
-RetryWindow::RetryWindow(RetryAllowance Allowance) : m_Allowance(Allowance) {}
+RetryWindow::RetryWindow(RetryAllowance Allowance, TimePoint Start)
+    : m_Allowance(Allowance), m_Start(Start), m_Requests(Allowance.m_Window),
+      m_Sent(Allowance.m_Window) {}
 
-void RetryWindow::noteRequest(TimePoint Now) {
-  expire(Now);
-  m_Requests.push_back(Now);
-}
+void RetryWindow::noteRequest(TimePoint Now) { m_Requests.add(Now); }
 
-bool RetryWindow::spend(TimePoint Now, size_t Hosts) {
-  expire(Now);
-  const double Sharers = static_cast<double>(std::max<size_t>(Hosts, 1));
-  const double Allowed =
-      UsedFraction *
-      (m_Allowance.m_Ratio * static_cast<double>(m_Requests.size()) +
-       m_Allowance.m_Slack / Sharers);
-  if (static_cast<double>(m_Retries.size() + 1) > Allowed)
+bool RetryWindow::reserve(TimePoint Now, const RetryShare &Share) {
+  if (static_cast<double>(spent(Now) + 1) > allowed(Now, Share)) {
+    ++m_Denied;
     return false;
-  m_Retries.push_back(Now);
+  }
+  ++m_Reserved;
   return true;
 }
 
-void RetryWindow::expire(TimePoint Now) {
-  const TimePoint Oldest = Now - m_Allowance.m_Window;
-  while (!m_Requests.empty() && m_Requests.front() < Oldest)
-    m_Requests.pop_front();
-  while (!m_Retries.empty() && m_Retries.front() < Oldest)
-    m_Retries.pop_front();
+void RetryWindow::noteSent(TimePoint Now) {
+  --m_Reserved;
+  m_Sent.add(Now);
+}
+
+void RetryWindow::noteNotSent(TimePoint SentAt) {
+  m_Sent.remove(SentAt);
+  ++m_Reserved;
+}
+
+void RetryWindow::giveBack() { --m_Reserved; }
+
+double RetryWindow::allowed(TimePoint Now, const RetryShare &Share) {
+  double Fraction = UsedFraction;
+  if (Now - m_Start < m_Allowance.m_Window)
+    Fraction = std::min(UsedFraction,
+                        NewHostsFraction / std::max(Share.m_NewHosts, 0.01));
+  return Fraction *
+         (m_Allowance.m_Ratio * static_cast<double>(m_Requests.atLeast(Now)) +
+          m_Allowance.m_Slack * Share.m_Slack);
+}
+
+int64_t RetryWindow::spent(TimePoint Now) {
+  return m_Sent.atMost(Now) + m_Reserved;
 }
 
 } // namespace monsoon
--- a/src/ports/metricssink.h
+++ b/src/ports/metricssink.h
@@ -29,6 +29,10 @@
   ConfigView m_Config;
   /// Number of times that it was sent to a target.
   int m_Attempts = 0;
+  /// Why it was sent again, one reason for each retry, separated by commas.
+  std::string m_RetryReasons;
+  /// True if a retry was denied since the allowance was used up.
+  bool m_WasRetryDenied = false;
   /// Time from the receipt of the request to the end of its answer.
   Duration m_Elapsed{};
   /// Time from the receipt until it was last sent to a target; m_Elapsed if it
--- a/src/telemetry/requestmetrics.cpp
+++ b/src/telemetry/requestmetrics.cpp
@@ -70,6 +70,10 @@
       .field("config_age_ms", toMilliseconds(Report.m_Config.m_Age))
       .field("waited_ms", toMilliseconds(Report.m_Waited))
       .field("elapsed_ms", toMilliseconds(Report.m_Elapsed));
+  if (!Report.m_RetryReasons.empty())
+    Line.field("sent_again", Report.m_RetryReasons);
+  if (Report.m_WasRetryDenied)
+    Line.field("retry_denied", std::string("yes"));
   if (Report.m_Error)
     Line.field("error_kind", std::string(errorName(*Report.m_Error)));
   Line.write();
--- a/tests/entry/entrybench.cpp
+++ b/tests/entry/entrybench.cpp
@@ -224,8 +224,9 @@
   Limits.m_Retries = {0.2, 60, std::chrono::seconds(10)};
   m_Dispatcher = std::make_unique<Dispatcher>(
       m_Loop, m_Dialect,
-      PoolDispatcher::Parts{m_Time, *m_Registry, *m_Hosts, *this, "host", "d1",
-                            Limits, &m_Allowances, &m_HostLoad, Currency},
+      PoolDispatcher::Parts{m_Time, *m_Registry, *m_Hosts, m_RetryShare, *this,
+                            "host", "d1", Limits, &m_Allowances, &m_HostLoad,
+                            Currency},
       [this](const std::string &Pool) { return m_FindOwnership(Pool); });
 }
 
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -121,6 +121,13 @@
   std::string m_Member;
 };
 
+/// A host that has all of every limit for itself.
+class WholeShare : public LimitShare {
+public:
+  double windowShare(Duration /*Window*/) const override { return 1; }
+  double newHosts(Duration /*Window*/) const override { return 0; }
+};
+
 /// Test fixture: a dispatcher with scripted targets.
 class EntryBench : public EventSink, public MetricsSink {
 public:
@@ -165,6 +172,7 @@
   BootTimeClock m_Time;
   PlainDialect m_Dialect;
   SingleHostGroup m_Group;
+  WholeShare m_RetryShare;
   HostLoad m_HostLoad;
   AllowanceGate m_Allowances;
   std::vector<RequestReport> m_Reports;
--- a/tests/keyowner/assignersimulation.cpp
+++ b/tests/keyowner/assignersimulation.cpp
@@ -35,21 +35,6 @@
 
 } // namespace
 
-void SimTime::at(TimePoint When, std::function<void()> What) {
-  m_Events.push({std::max(When, m_Now), m_Next++, std::move(What)});
-}
-
-void SimTime::run(Duration Length) {
-  const TimePoint End = m_Now + Length;
-  while (!m_Events.empty() && m_Events.top().m_When <= End) {
-    const Event Next = m_Events.top();
-    m_Events.pop();
-    m_Now = Next.m_When;
-    Next.m_What();
-  }
-  m_Now = End;
-}
-
 /// Prints events when MONSOON_TRACE is set.
 class AssignerSimulation::Events : public EventSink {
 public:
--- a/tests/keyowner/assignersimulation.h
+++ b/tests/keyowner/assignersimulation.h
@@ -2,11 +2,11 @@
 #define MONSOON_TESTS_KEYOWNER_ASSIGNERSIMULATION_H
 
 #include "keyowner/rangeassigner.h"
+#include "support/simtime.h"
 
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <random>
 #include <set>
 #include <string>
@@ -14,32 +14,6 @@
 
 namespace monsoon {
 
-/// Simulated clock with a queue of events that run when they are due.
-class SimTime : public Clock {
-public:
-  TimePoint now() const override { return m_Now; }
-  /// Schedules What; a time in the past means now.
-  void at(TimePoint When, std::function<void()> What);
-  void after(Duration Delay, std::function<void()> What) {
-    at(m_Now + Delay, std::move(What));
-  }
-  /// Advances the clock by Length and runs the events due until then.
-  void run(Duration Length);
-
-private:
-  struct Event {
-    TimePoint m_When;
-    uint64_t m_Order;
-    std::function<void()> m_What;
-    bool operator<(const Event &Other) const {
-      return std::tie(m_When, m_Order) > std::tie(Other.m_When, Other.m_Order);
-    }
-  };
-  TimePoint m_Now{std::chrono::seconds(1000)};
-  uint64_t m_Next = 0;
-  std::priority_queue<Event> m_Events;
-};
-
 /// Simulated server: its current holds, timed by its own slow clock, and all
 /// grants that it has accepted.
 struct SimServer {
--- a/tests/membership/hostmembershiptest.cpp
+++ b/tests/membership/hostmembershiptest.cpp
@@ -197,3 +197,42 @@
   CHECK(Given.m_Hosts[0]->heldUntil(*Names.begin()) <=
         Given.m_Time.now() + Given.m_Hosts[0]->longestLease());
 }
+
+// Guards against a list of members that was read before all of them had joined
+// in its generation and is then kept: each host counted two hosts of twelve.
+TEST_CASE("members that are listed late in a generation are counted") {
+  Member Given;
+  Given.m_Group.m_Members = {"a"};
+  Given.run(milliseconds(500));
+  CHECK(Given.m_Host.hosts() == 1);
+  // A duty has no holder until its former one has joined again.
+  Given.m_Group.m_Members = {"a", "b", "c", "d"};
+  Given.run(milliseconds(1500));
+  CHECK(Given.m_Host.hosts() == 4);
+}
+
+TEST_CASE("members of one generation that peers have listed are joined") {
+  Member Given;
+  Given.m_Group.m_Members = {"a", "b"};
+  Given.run(milliseconds(500));
+  Given.m_Host.applyPeerMembers({1, {"a", "c"}});
+  CHECK(Given.m_Host.names() == std::set<std::string>{"a", "b", "c"});
+  Given.m_Host.applyPeerMembers({2, {"a", "c", "d"}});
+  CHECK(Given.m_Host.names().count("d") == 1);
+}
+
+TEST_CASE("a host knows which part of the hosts has just started") {
+  FakeClock Time;
+  FakeGroup Group;
+  NoEvents Events;
+  const std::string Own = processName("a", 1000, 1);
+  Group.m_Members = {Own, processName("b", 900, 2), processName("c", 995, 3),
+                     processName("d", 1003, 4)};
+  HostMembership Host(Own, Group, Time, Events);
+  CHECK(Host.newHosts(std::chrono::seconds(10)) == 1);
+  Host.tick();
+  CHECK(Host.newHosts(std::chrono::seconds(10)) == 0.75);
+  Time.advance(std::chrono::seconds(8));
+  Host.tick();
+  CHECK(Host.newHosts(std::chrono::seconds(10)) == 0.5);
+}
--- a/tests/soak/invariantchecker.cpp
+++ b/tests/soak/invariantchecker.cpp
@@ -2,6 +2,8 @@
 
 #include "absl/strings/str_cat.h"
 
+#include <algorithm>
+
 namespace monsoon {
 
 namespace {
@@ -28,12 +30,25 @@
   return Body;
 }
 
-void InvariantChecker::recordSent(const std::string &Id, bool IsIdempotent) {
-  m_Requests[Id].m_IsIdempotent = IsIdempotent;
+void InvariantChecker::recordSent(const std::string &Id, bool IsIdempotent,
+                                  const std::string &Pool) {
+  Request &Sent = m_Requests[Id];
+  Sent.m_IsIdempotent = IsIdempotent;
+  Sent.m_Pool = Pool;
+  m_Repeats[Pool].noteRequest(std::chrono::steady_clock::now());
 }
 
 void InvariantChecker::recordArrival(const std::string &Id) {
-  ++m_Requests[Id].m_Arrivals;
+  Request &Arrived = m_Requests[Id];
+  ++Arrived.m_Arrivals;
+  m_Repeats[Arrived.m_Pool].noteArrival(std::chrono::steady_clock::now(), Id);
+}
+
+double InvariantChecker::allowanceUsed() const {
+  double Used = 0;
+  for (const auto &[Pool, Each] : m_Repeats)
+    Used = std::max(Used, Each.worst(Allowance).used());
+  return Used;
 }
 
 void InvariantChecker::recordExecution(const std::string &Id) {
@@ -83,6 +98,13 @@
 }
 
 void InvariantChecker::checkWholeRun() {
+  for (const auto &[Pool, Each] : m_Repeats) {
+    const RepeatCount::Worst Worst = Each.worst(Allowance);
+    if (Worst.used() > 1)
+      addViolation(absl::StrCat(Worst.m_Repeats, " repeats reached pool ", Pool,
+                                " in one window, ", Worst.m_Allowed,
+                                " are allowed"));
+  }
   for (const auto &[Id, Each] : m_Requests)
     if (!Each.m_IsIdempotent && Each.m_Executions > 0 &&
         isRefusal(Each.m_Status))
--- a/tests/soak/invariantchecker.h
+++ b/tests/soak/invariantchecker.h
@@ -3,6 +3,7 @@
 
 #include "core/httpmessage.h"
 #include "core/timepoint.h"
+#include "support/repeatcount.h"
 
 #include <cstdint>
 #include <map>
@@ -13,13 +14,18 @@
 
 /// Checks the responses that callers received against the requests that servers
 /// executed, and collects violations: an order executed twice, a response that
-/// is not from the server, a request aborted by a graceful stop, or an order
-/// refused as not executed that a server did execute.
+/// is not from the server, a request aborted by a graceful stop, an order
+/// refused as not executed that a server did execute, or more repeats at the
+/// servers of a pool than are allowed.
 class InvariantChecker {
 public:
-  /// A caller sends a request. IsIdempotent is false for an order, which may be
-  /// executed at most once.
-  void recordSent(const std::string &Id, bool IsIdempotent);
+  /// The allowance that the entry hosts are given.
+  static constexpr RetryAllowance Allowance{0.2, 60, std::chrono::seconds(10)};
+
+  /// A caller sends a request on a route to the pool. IsIdempotent is false for
+  /// an order, which may be executed at most once.
+  void recordSent(const std::string &Id, bool IsIdempotent,
+                  const std::string &Pool);
   /// A server received a request, which it may still refuse.
   void recordArrival(const std::string &Id);
   /// A server starts to execute a request.
@@ -39,6 +45,8 @@
 
   /// A description of each violation, in the order of detection.
   const std::vector<std::string> &violations() const { return m_Violations; }
+  /// The largest part of the allowance that was used in a window, of any pool.
+  double allowanceUsed() const;
   /// Number of requests sent.
   uint64_t sent() const { return m_Requests.size(); }
   /// Number of 2xx responses.
@@ -54,12 +62,14 @@
 private:
   struct Request {
     bool m_IsIdempotent = true;
+    std::string m_Pool;
     int m_Arrivals = 0;
     int m_Executions = 0;
     int m_Status = 0;
   };
 
   std::map<std::string, Request> m_Requests;
+  std::map<std::string, RepeatCount> m_Repeats;
   std::vector<std::string> m_Violations;
   uint64_t m_Succeeded = 0;
   uint64_t m_Refused = 0;
--- a/tests/soak/main.cpp
+++ b/tests/soak/main.cpp
@@ -31,7 +31,8 @@
        {"seconds", 't', "duration of fault injection", "N"},
        {"hosts", 'n', "number of entry hosts", "N"},
        {"callers", 'c', "number of callers", "N"},
-       {"faults", 'k', "kind of incidents played", "all|stops|restores|none"},
+       {"faults", 'k', "kind of incidents played",
+        "all|stops|restores|failures|none"},
        {"folder", 'f', "parent folder of the logs", "FOLDER"},
        {"verbose", 'v', "print each injected fault", "0|1"}});
   int Exit = 0;
@@ -52,12 +53,14 @@
       std::chrono::seconds(numberOption(*Options, "seconds", 20));
   const std::string Kind(Options->value("faults").value_or("all"));
   if (Kind != "all" && Kind != "stops" && Kind != "restores" &&
-      Kind != "none") {
-    std::fputs("soak: --faults is all, stops, restores or none\n", stderr);
+      Kind != "failures" && Kind != "none") {
+    std::fputs("soak: --faults is all, stops, restores, failures or none\n",
+               stderr);
     return ExitUsage;
   }
   Settings.m_PlaysStops = Kind == "all" || Kind == "stops";
   Settings.m_PlaysRestores = Kind == "all" || Kind == "restores";
+  Settings.m_PlaysFailures = Kind == "failures";
   Settings.m_IsVerbose = numberOption(*Options, "verbose", 0) != 0;
   const uint64_t FirstSeed = numberOption(*Options, "seed", 1);
   const uint64_t Runs = numberOption(*Options, "runs", 1);
--- a/tests/soak/pipeliningcaller.cpp
+++ b/tests/soak/pipeliningcaller.cpp
@@ -104,7 +104,7 @@
   Request.m_HasBody = IsOrder;
   if (IsOrder)
     Request.m_Body.assign(m_Parts.m_Random() % LongestOrder, 'o');
-  m_Parts.m_Checker.recordSent(Id, !IsOrder);
+  m_Parts.m_Checker.recordSent(Id, !IsOrder, IsOrder ? "orders" : "ledger");
   m_Awaited.push_back({Id, Request.m_Method});
   return writeRequestHead(Request) + Request.m_Body;
 }
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -21,6 +21,8 @@
 /// some time for moving keys.
 constexpr Milliseconds RecoveryTime{16'000};
 constexpr Milliseconds MeasureTime{2000};
+/// More than a window of the retry allowance.
+constexpr Milliseconds FailureTime{16'000};
 constexpr double MinSuccessRate = 0.95;
 constexpr Milliseconds HostPollInterval{50};
 constexpr Milliseconds DelayInterval{10};
@@ -92,7 +94,10 @@
           R"("rule_set":[%s{"name":"ledger",)"
           R"("kind":"safe","target_latency_ms":600,"priority":2,)"
           R"("match":{"path_prefix":"/ledger/"},"action":{"service":"ledger",)"
-          R"("timeout_ms":1400,"max_attempts":2}}]}],"clusters":[)"
+          R"("timeout_ms":1400,"max_attempts":2}},{"name":"catalog",)"
+          R"("kind":"safe","target_latency_ms":600,"priority":2,)"
+          R"("match":{"path_prefix":"/catalog/"},"action":{"service":"orders",)"
+          R"("timeout_ms":1400,"max_attempts":3}}]}],"clusters":[)"
           R"({"name":"ledger","health_path":"/health","max_connections":200,)"
           R"("warmup_s":3.0,"warmup_per_s":5.3,"sharded":true,"warm_s":2.0},)"
           R"({"name":"orders","health_path":"/health","max_connections":200,)"
@@ -554,7 +559,7 @@
              : static_cast<double>(Succeeded) / (Succeeded + Failed);
 }
 
-bool Soak::run() {
+void Soak::startAll() {
   const Endpoint Store = m_Store.start();
   publishConfig();
   addServers();
@@ -569,17 +574,42 @@
   }
   superviseHosts();
   measureDelay();
+}
+
+SoakCaller::Parts Soak::callerParts() {
+  return {m_Loop,
+          m_Checker,
+          m_Random,
+          [this]() { return chooseHost(); },
+          [this](TimePoint When) { return delaySince(When); },
+          [this]() { return versionInForce(); },
+          [this](HostProcess &Host, TimePoint SentAt) {
+            return mustKnowConfig(Host, SentAt);
+          },
+          m_Settings.m_PlaysFailures};
+}
+
+void Soak::playFailures() {
+  const SoakCaller::Parts Parts = callerParts();
+  for (const auto &Each : m_Servers)
+    Each->setFailing(true);
+  for (int Number = 0; Number < m_Settings.m_Callers; ++Number) {
+    m_Callers.push_back(std::make_unique<SoakCaller>(Number, false, Parts));
+    m_Callers.back()->start();
+  }
+  runLoopFor(FailureTime);
+  logVerbose("kill all hosts");
+  for (const auto &Each : m_Hosts)
+    Each->kill();
+  runLoopFor(FailureTime);
+  for (const auto &Each : m_Callers)
+    Each->stop();
+  runLoopFor(Milliseconds(3500));
+}
+
+void Soak::playFaults() {
   runLoopFor(StartupTime);
-  const SoakCaller::Parts Parts{
-      m_Loop,
-      m_Checker,
-      m_Random,
-      [this]() { return chooseHost(); },
-      [this](TimePoint When) { return delaySince(When); },
-      [this]() { return versionInForce(); },
-      [this](HostProcess &Host, TimePoint SentAt) {
-        return mustKnowConfig(Host, SentAt);
-      }};
+  const SoakCaller::Parts Parts = callerParts();
   for (int Number = 0; Number < m_Settings.m_Callers; ++Number) {
     m_Callers.push_back(std::make_unique<SoakCaller>(Number, false, Parts));
     m_Callers.back()->start();
@@ -605,16 +635,24 @@
   for (const auto &Each : m_ExtraCallers)
     Each->stop();
   runLoopFor(Milliseconds(3500));
-  m_Checker.checkWholeRun();
   if (RateBefore < MinSuccessRate)
     m_Checker.addViolation(
         absl::StrFormat("success rate %.2f before faults", RateBefore));
   if (RateAfter < MinSuccessRate)
     m_Checker.addViolation(absl::StrFormat(
         "success rate %.2f after recovery from all faults", RateAfter));
+}
+
+bool Soak::run() {
+  startAll();
+  if (m_Settings.m_PlaysFailures)
+    playFailures();
+  else
+    playFaults();
+  m_Checker.checkWholeRun();
   std::printf("seed %llu: %d overlapping stops, %d restores, %llu requests, "
               "%llu served, %llu refused, %llu crossed a close, %lld ms late "
-              "in all, %zu violations\n",
+              "in all, %.2f of the retries, %zu violations\n",
               static_cast<unsigned long long>(m_Settings.m_Seed), m_StopsPlayed,
               m_RestoresPlayed,
               static_cast<unsigned long long>(m_Checker.sent()),
@@ -624,7 +662,7 @@
               static_cast<long long>(std::chrono::duration_cast<Milliseconds>(
                                          delaySince(TimePoint{}))
                                          .count()),
-              m_Checker.violations().size());
+              m_Checker.allowanceUsed(), m_Checker.violations().size());
   for (const std::string &Each : m_Checker.violations())
     std::printf("  %s\n", Each.c_str());
   return m_Checker.violations().empty();
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -34,6 +34,8 @@
   /// that nothing excuses a request that a stop lost.
   bool m_PlaysStops = true;
   bool m_PlaysRestores = true;
+  /// Plays failing servers and hosts that start instead of all other faults.
+  bool m_PlaysFailures = false;
   /// Prints each injected fault.
   bool m_IsVerbose = false;
 };
@@ -51,6 +53,14 @@
   bool run();
 
 private:
+  /// Starts the store, the servers and the hosts.
+  void startAll();
+  SoakCaller::Parts callerParts();
+  /// All servers of a pool fail while the hosts start, and again after all of
+  /// them were killed. Callers come from the first moment on.
+  void playFailures();
+  /// Plays the faults of the settings and the recovery from them.
+  void playFaults();
   /// Publishes a new version of the configuration to the store. It adds a route
   /// for orders to those of all versions before.
   void publishConfig();
--- a/tests/soak/soakcaller.cpp
+++ b/tests/soak/soakcaller.cpp
@@ -61,23 +61,26 @@
     Options.m_Address = m_Host->callerAddress();
     m_Link = std::make_shared<HttpLink>(m_Parts.m_Loop, m_Clock, Options);
   }
-  const bool IsOrder = ++m_SentCount % OrderPeriod == 0;
+  const bool IsOrder = ++m_SentCount % OrderPeriod == 0 && !m_Parts.m_OnlyReads;
   const std::string Id = absl::StrFormat("%04x%08x", m_Number, m_SentCount);
   m_Version = IsOrder ? m_Parts.m_VersionInForce() : 0;
   HttpRequest Request;
   Request.m_Method = IsOrder ? "POST" : "GET";
-  Request.m_Target = IsOrder ? absl::StrCat("/order/v", m_Version, "/", Id)
-                             : absl::StrCat("/ledger/", Id);
+  Request.m_Target =
+      IsOrder
+          ? absl::StrCat("/order/v", m_Version, "/", Id)
+          : absl::StrCat(m_Parts.m_OnlyReads ? "/catalog/" : "/ledger/", Id);
   Request.m_Fields.add("Host", "shop.example");
   Request.m_Fields.add("X-Monsoonstand-Request-Id", Id);
   Request.m_Fields.add("X-Monsoonstand-Request-Deadline",
                        absl::StrCat(Deadline.count()));
-  if (!IsOrder)
+  if (!IsOrder && !m_Parts.m_OnlyReads)
     Request.m_Fields.add("X-Monsoonstand-Shard-Key",
                          absl::StrCat(m_Parts.m_Random() % KeyCount));
   Request.m_HasBody = IsOrder;
   Request.m_Body = IsOrder ? Id : "";
-  m_Parts.m_Checker.recordSent(Id, !IsOrder);
+  m_Parts.m_Checker.recordSent(
+      Id, !IsOrder, IsOrder || m_Parts.m_OnlyReads ? "orders" : "ledger");
   m_SentAt = std::chrono::steady_clock::now();
   std::string Head = writeRequestHead(Request);
   m_Link->send(std::move(Head),
--- a/tests/soak/soakcaller.h
+++ b/tests/soak/soakcaller.h
@@ -35,6 +35,8 @@
     /// Returns true if the host had no fault that excuses an old config for
     /// requests sent at this time.
     std::function<bool(HostProcess &Host, TimePoint SentAt)> m_MustKnowConfig;
+    /// If true, callers only read from the pool without keys.
+    bool m_OnlyReads = false;
   };
 
   /// If it Reconnects, each request is sent over a connection of its own.
--- a/tests/soak/soakserver.cpp
+++ b/tests/soak/soakserver.cpp
@@ -227,7 +227,7 @@
         [this, Next](const boost::system::error_code &Error) {
           if (Error)
             return;
-          HttpResponse Answer = makeResponse(200);
+          HttpResponse Answer = makeResponse(m_IsFailing ? 500 : 200);
           Answer.m_Fields.add("X-Monsoonstand-Request-Id", Next->m_Id);
           Answer.m_Fields.add("X-Monsoonstand-Server-Signature", m_Id);
           Answer.m_Body = InvariantChecker::expectedBody(Next->m_Id);
--- a/tests/soak/soakserver.h
+++ b/tests/soak/soakserver.h
@@ -71,6 +71,8 @@
   void setSlowness(int Factor) { m_Slowness = Factor; }
   /// Executes the next Count requests without sending their responses.
   void dropResponses(int Count) { m_ResponsesToDrop = Count; }
+  /// While true, requests are executed and answered with a failure.
+  void setFailing(bool IsFailing) { m_IsFailing = IsFailing; }
 
   // RequestHandler
   std::shared_ptr<PendingRequest> handle(HttpRequest Request,
@@ -103,6 +105,7 @@
   bool m_IsDraining = false;
   bool m_IsCutFromStore = false;
   int m_ResponsesToDrop = 0;
+  bool m_IsFailing = false;
   int m_Slowness = 1;
   /// Ids of earlier incarnations.
   std::set<std::string> m_FormerIds;
