The answer to a release counts only for the move that asked for it

Cause: the callback of a release looked for a move of the same keys under the same fence. A move that was dropped, as its receiver's domain was emptied, and planned again looks the same, while the owner has been granted the keys again and has begun new requests. The late answer to the first release freed the second move.

Ruled out: second copies of answers (the simulation has no connections) and grants behind the release (none is sent while one is open).

Each move has an id now, and the callback finds its move by it.

The simulated servers keep the requests that run when their keys are released; before, no check could see this.

--- a/src/keyowner/rangeassigner.cpp
+++ b/src/keyowner/rangeassigner.cpp
@@ -638,11 +638,13 @@
     if (!Range || Range->m_Keys != Each.m_Keys || isMoving(Range->m_Fence))
       continue;
     Move Started;
+    Started.m_Id = ++m_LastMoveId;
     Started.m_Plan = Each;
     Started.m_Fence = Range->m_Fence;
     Started.m_Started = Now;
     log(Severity::Info, "move_planned",
-        {{"first", absl::StrCat(Each.m_Keys.m_First)},
+        {{"move", absl::StrCat(Started.m_Id)},
+         {"first", absl::StrCat(Each.m_Keys.m_First)},
          {"last", absl::StrCat(Each.m_Keys.m_Last)},
          {"from", Each.m_From},
          {"to", Each.m_To}});
@@ -700,27 +702,33 @@
   Each.m_NextRelease = Now + ReleaseRetryDelay;
   m_Ports.m_Grants.release(
       *From, Each.m_Plan.m_Keys, Each.m_Fence,
-      [this, Alive = std::weak_ptr<bool>(m_Alive), Keys = Each.m_Plan.m_Keys,
-       Fence = Each.m_Fence](GrantCallResult Result,
-                             const std::string &Handover) {
-        if (Alive.expired())
-          return;
-        for (Move &Waiting : m_Moves) {
-          if (Waiting.m_Fence != Fence || Waiting.m_Plan.m_Keys != Keys)
-            continue;
-          Waiting.m_ReleaseInFlight = false;
-          if (Result != GrantCallResult::Accepted ||
-              Waiting.m_Step != MoveStep::Releasing)
-            continue;
-          Waiting.m_Step = MoveStep::Freed;
-          Waiting.m_Handover = Handover;
-        }
-        if (Result == GrantCallResult::Accepted)
-          tick();
+      [this, Alive = std::weak_ptr<bool>(m_Alive),
+       Id = Each.m_Id](GrantCallResult Result, const std::string &Handover) {
+        if (!Alive.expired())
+          handleReleaseResult(Id, Result, Handover);
       });
   return true;
 }
 
+void RangeAssigner::handleReleaseResult(uint64_t MoveId, GrantCallResult Result,
+                                        const std::string &Handover) {
+  const auto Found =
+      std::find_if(m_Moves.begin(), m_Moves.end(),
+                   [MoveId](const Move &Each) { return Each.m_Id == MoveId; });
+  if (Found == m_Moves.end()) {
+    log(Severity::Debug, "release_outdated", {{"move", absl::StrCat(MoveId)}});
+    return;
+  }
+  Found->m_ReleaseInFlight = false;
+  if (Result != GrantCallResult::Accepted)
+    return;
+  if (Found->m_Step == MoveStep::Releasing) {
+    Found->m_Step = MoveStep::Freed;
+    Found->m_Handover = Handover;
+  }
+  tick();
+}
+
 void RangeAssigner::recordMoves() {
   const TimePoint Now = m_Ports.m_Clock.now();
   if (m_AppendPending || m_Resyncing || Now < m_NextRecord)
--- a/src/keyowner/rangeassigner.h
+++ b/src/keyowner/rangeassigner.h
@@ -243,7 +243,12 @@
     Recording
   };
 
+  /// Invariant: only the answer to a release that was sent for this very move
+  /// frees its keys. A move of the same keys under the same fence may have been
+  /// dropped before, and the owner has been granted the keys again since.
   struct Move {
+    /// Differs from that of every other move of this process.
+    uint64_t m_Id = 0;
     PlannedMove m_Plan;
     /// Fence of the assignment that ends.
     uint64_t m_Fence = 0;
@@ -297,6 +302,8 @@
                    LogOffset End);
   void assignInitialOwners(TimePoint Now);
   void advanceMoves(TimePoint Now);
+  void handleReleaseResult(uint64_t MoveId, GrantCallResult Result,
+                           const std::string &Handover);
   /// Frees the keys of a move if possible. Returns false if its assignment no
   /// longer exists.
   bool advanceRelease(Move &Each, TimePoint Now);
@@ -393,6 +400,7 @@
   std::map<uint64_t, GrantState> m_Grants;
   std::map<std::string, EjectedTarget> m_Ejected;
   std::deque<Move> m_Moves;
+  uint64_t m_LastMoveId = 0;
   KeyLoad m_Load;
   /// Requests at this host that were not sent to the peers yet, by key.
   std::map<uint32_t, uint32_t> m_UnreportedCounts;
--- a/tests/keyowner/assignersimulation.cpp
+++ b/tests/keyowner/assignersimulation.cpp
@@ -258,33 +258,20 @@
                     [Done]() { Done(GrantCallResult::Unreachable, ""); });
       return;
     }
-    // The release is answered after the running work on the keys has ended.
-    const Duration Work = Milliseconds(m_Sim.random()() % 400);
-    m_Sim.m_Time.after(NetworkDelay, [&Sim = m_Sim, Host = m_Host, Work, Keys,
-                                      Id = From.m_Id, Done]() {
+    const Duration RandomWork = Milliseconds(m_Sim.random()() % 400);
+    m_Sim.m_Time.after(NetworkDelay, [&Sim = m_Sim, Host = m_Host, RandomWork,
+                                      Keys, Id = From.m_Id, Done]() {
       const auto Found = Sim.m_Servers.find(Id);
       if (Found == Sim.m_Servers.end()) {
         Sim.deliver(Host, ReleaseTimeout,
                     [Done]() { Done(GrantCallResult::Unanswered, ""); });
         return;
       }
-      std::vector<SimServer::Hold> Kept;
-      for (SimServer::Hold Each : Found->second->m_Holds) {
-        if (!overlaps(Each.m_Keys, Keys)) {
-          Kept.push_back(Each);
-          continue;
-        }
-        SimServer::Hold Left = Each;
-        Left.m_Keys.m_Last = Keys.m_First - 1;
-        if (Each.m_Keys.m_First < Keys.m_First)
-          Kept.push_back(Left);
-        SimServer::Hold Right = Each;
-        Right.m_Keys.m_First = Keys.m_Last + 1;
-        if (Each.m_Keys.m_Last > Keys.m_Last)
-          Kept.push_back(Right);
-      }
-      Found->second->m_Holds = Kept;
-      Sim.deliver(Host, Work + NetworkDelay,
+      SimServer &Server = *Found->second;
+      const Duration Work =
+          Server.m_WorkTime > Duration::zero() ? Server.m_WorkTime : RandomWork;
+      const TimePoint End = Sim.releaseKeys(Server, Keys, Work);
+      Sim.deliver(Host, End - Sim.m_Time.now() + NetworkDelay,
                   [Done]() { Done(GrantCallResult::Accepted, "handover"); });
     });
   }
@@ -573,6 +560,37 @@
   m_Time.after(MemberInterval, [this]() { publishTargets(); });
 }
 
+TimePoint AssignerSimulation::releaseKeys(SimServer &Server,
+                                          const KeyRange &Keys, Duration Work) {
+  const TimePoint Now = m_Time.now();
+  std::vector<SimServer::Hold> Kept;
+  for (const SimServer::Hold &Each : Server.m_Holds) {
+    if (!overlaps(Each.m_Keys, Keys)) {
+      Kept.push_back(Each);
+      continue;
+    }
+    if (Each.m_Until > Now)
+      Server.m_Work.push_back({{std::max(Each.m_Keys.m_First, Keys.m_First),
+                                std::min(Each.m_Keys.m_Last, Keys.m_Last)},
+                               Now + Work,
+                               Each.m_Until});
+    SimServer::Hold Left = Each;
+    Left.m_Keys.m_Last = Keys.m_First - 1;
+    if (Each.m_Keys.m_First < Keys.m_First)
+      Kept.push_back(Left);
+    SimServer::Hold Right = Each;
+    Right.m_Keys.m_First = Keys.m_Last + 1;
+    if (Each.m_Keys.m_Last > Keys.m_Last)
+      Kept.push_back(Right);
+  }
+  Server.m_Holds = Kept;
+  TimePoint End = Now;
+  for (const SimServer::RunningWork &Each : Server.m_Work)
+    if (overlaps(Each.m_Keys, Keys))
+      End = std::max(End, Each.m_End);
+  return End;
+}
+
 SimServer *AssignerSimulation::serverAt(const std::string &Address) {
   for (const auto &[Id, Each] : m_Servers)
     if (Each->m_IsUp && Each->m_Info.m_Address.m_Host == Address)
@@ -621,6 +639,12 @@
           violation(absl::StrCat(OtherId, " and ", Id, " both hold key ",
                                  Hold.m_Keys.m_First, ".., fences ",
                                  Each.m_Fence, " and ", Hold.m_Fence));
+      for (const SimServer::RunningWork &Each : Other->m_Work)
+        if (Each.m_End > Now && Each.m_HeldUntil > Now &&
+            overlaps(Each.m_Keys, Hold.m_Keys))
+          violation(absl::StrCat(Id, " got key ", Hold.m_Keys.m_First,
+                                 ".. with fence ", Hold.m_Fence, " while ",
+                                 OtherId, " still works on it"));
     }
   for (uint32_t Key = Order.m_Keys.m_First; Key <= Order.m_Keys.m_Last; ++Key) {
     if (m_HighestFence[Key] >= Order.m_Fence && m_FenceOwner[Key] != Id &&
@@ -658,6 +682,7 @@
   SimServer &Server = *m_Servers.at(Id);
   Server.m_IsUp = false;
   Server.m_Holds.clear();
+  Server.m_Work.clear();
   m_Time.after(EntryLifetime,
                [this, Id, Incarnation = Server.m_Info.m_Incarnation]() {
                  const auto Found = m_Servers.find(Id);
--- a/tests/keyowner/assignersimulation.h
+++ b/tests/keyowner/assignersimulation.h
@@ -22,12 +22,22 @@
     uint64_t m_Fence = 0;
     TimePoint m_Until{};
   };
+  /// Requests that were running when their keys were released.
+  struct RunningWork {
+    KeyRange m_Keys;
+    TimePoint m_End{};
+    /// Until when the keys would have been held without the release.
+    TimePoint m_HeldUntil{};
+  };
   TargetInfo m_Info;
   bool m_IsUp = true;
   /// Up, but unreachable for all hosts.
   bool m_IsPartitioned = false;
   std::vector<Hold> m_Holds;
   std::vector<Hold> m_AcceptedGrants;
+  std::vector<RunningWork> m_Work;
+  /// How long requests run; zero for random times below 400 ms.
+  Duration m_WorkTime{};
   /// Factor by which holds last longer on this server's clock.
   double m_ClockRate = 1.02;
 };
@@ -35,7 +45,8 @@
 /// Simulates several hosts, each with the RangeAssigner of one pool, on a log
 /// and servers that fail in the ways listed in the platform's documentation.
 /// Checks every grant that is carried out: no key may be held by two servers
-/// that are up, and a key goes to another server only under a higher fence.
+/// that are up, a key goes to another server only under a higher fence, and not
+/// while requests for it run at its former owner that still would hold it.
 class AssignerSimulation {
 public:
   AssignerSimulation(unsigned Hosts, unsigned Servers, uint64_t Seed,
@@ -129,6 +140,9 @@
   void handleGrant(const std::string &Id, const std::string &Address,
                    const KeyGrant &Order, TimePoint Arrived,
                    const std::function<void(GrantCallResult)> &Done);
+  /// Takes the keys from the server. Returns the moment at which the last
+  /// request for them has ended.
+  TimePoint releaseKeys(SimServer &Server, const KeyRange &Keys, Duration Work);
   SimServer *serverAt(const std::string &Address);
   /// Runs What after Delay unless the host crashes; a paused host runs it when
   /// it resumes.
--- a/tests/keyowner/keeperschedules.cpp
+++ b/tests/keyowner/keeperschedules.cpp
@@ -145,6 +145,26 @@
   return Sim.violations().empty() ? "" : Sim.violations().front();
 }
 
+/// Runs a schedule in which slow servers release keys while domains are taken
+/// out and back every few hundred milliseconds, beside other faults.
+std::string runDomainSchedule(uint64_t Seed) {
+  AssignerSimulation Sim(4, 9, Seed);
+  Sim.run(seconds(6));
+  const auto Chance = [&Sim](uint64_t Sides) { return Sim.random()() % Sides; };
+  for (int Step = 0; Step < 40 && Sim.violations().empty(); ++Step) {
+    for (const std::string &Id : Sim.serverIds())
+      if (Chance(3) == 0)
+        Sim.server(Id).m_WorkTime = Milliseconds(1 + Chance(3000));
+    Sim.setDomainOut(absl::StrCat("d", Chance(3)), Chance(2) == 0);
+    if (Chance(4) == 0)
+      randomFault(Sim);
+    Sim.run(Milliseconds(100 + Chance(1200)));
+  }
+  Sim.clearFaults();
+  Sim.run(seconds(25));
+  return Sim.violations().empty() ? "" : Sim.violations().front();
+}
+
 } // namespace
 
 TEST_SUITE("one-owner") {
@@ -167,6 +187,17 @@
     }
   }
 
+  // Guards against answers to releases that are taken for those of other moves.
+  TEST_CASE("random fault schedules with slow servers and domains that are "
+            "emptied in turn leave one owner per key") {
+    const uint64_t First = environmentNumber("MONSOON_SEED", 1);
+    const uint64_t Count = environmentNumber("MONSOON_SCHEDULES", 60);
+    for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
+      INFO("seed " << Seed);
+      CHECK(runDomainSchedule(Seed) == "");
+    }
+  }
+
   TEST_CASE("schedules on a restored log that once left two owners") {
     // The report of an ended term of a holder before the last one shortened the
     // wait for the last one's holds.
--- a/tests/keyowner/rangeassignertest.cpp
+++ b/tests/keyowner/rangeassignertest.cpp
@@ -153,6 +153,37 @@
       CHECK(Sim.unservedKeys() == 0);
     }
   }
+
+  // Guards against keys that are given away while their former owner works on
+  // them: a release of a dropped move was answered during the next move.
+  TEST_CASE("late release: the answer to a dropped move's release frees "
+            "nothing") {
+    for (uint64_t Seed = 1; Seed <= 20; ++Seed) {
+      INFO("seed " << Seed);
+      AssignerSimulation Sim(3, 9, Seed);
+      Sim.run(seconds(8));
+      const std::string Owner = Sim.holderOf(100);
+      REQUIRE(Owner != "");
+      const std::string Domain = Sim.server(Owner).m_Info.m_FailureDomain;
+      const auto EmptyOwnersDomain = [&](bool IsOut) {
+        for (const char *Each : {"d0", "d1", "d2"})
+          Sim.setDomainOut(Each, (Each == Domain) == IsOut);
+      };
+      for (const std::string &Id : Sim.serverIds())
+        Sim.server(Id).m_WorkTime = Milliseconds(1600 + 40 * Seed);
+      // Each move is dropped, as the domains of its receivers are emptied, and
+      // planned again while its first release is unanswered.
+      EmptyOwnersDomain(true);
+      Sim.run(Milliseconds(900));
+      EmptyOwnersDomain(false);
+      Sim.run(Milliseconds(900));
+      EmptyOwnersDomain(true);
+      Sim.run(seconds(12));
+      CHECK(firstViolation(Sim) == "");
+      CHECK(Sim.holderOf(100) != "");
+      CHECK(Sim.holderOf(100) != Owner);
+    }
+  }
 }
 
 TEST_SUITE("assignments-survive") {
