Targets of a domain that is back count as cold, not as out of use

Cause: each target of the domain was kept out of use until an entry with a higher sequence. A target writes an entry only when more than its sequence changes, so a warm one never did.

Ruled out: a lost record of the end (domain_back is logged) and keys that stay away (pools without keys are refused as well).

A target whose warm-up is not known counts as cold, so it is used at the pace of cold ones at once; this ends with a newer entry, or when the membership is known completely 2.5 s (two heartbeats) later. So no event is needed.

The soak's servers write entries as the platform does; they wrote one with every heartbeat, which hid the fault.

The test that wanted such targets out of use until a heartbeat asserted the fault. Its replacement checks the pace of cold targets until the bound, and both kinds of newer entries.

--- a/src/entry/pooldispatcher.cpp
+++ b/src/entry/pooldispatcher.cpp
@@ -182,7 +182,7 @@
     failRequest(Request, ErrorKind::AnswerLost, "owner_leaving");
     return;
   }
-  if (!m_Ownership && !m_Parts.m_Targets.expectsUsable(m_Name)) {
+  if (!m_Ownership && !m_Parts.m_Targets.hasUsable(m_Name)) {
     failRequest(Request, ErrorKind::AnswerLost, "no_usable_target");
     return;
   }
--- a/src/entry/targetnode.h
+++ b/src/entry/targetnode.h
@@ -29,16 +29,26 @@
   const TargetLoad &load() const { return m_Load; }
   LinkPool &links() { return *m_Links; }
 
-  /// True during warm-up, while it can serve only few requests.
-  bool isCold(TimePoint Now) const { return Now < m_ColdUntil; }
+  /// True during warm-up, while it can serve only few requests, and while it is
+  /// not known whether it is warm.
+  bool isCold(TimePoint Now) const {
+    return isWarmupUnknown() || Now < m_ColdUntil;
+  }
   /// Extends the cold phase to Left from now; never shortens it.
   void setWarmupLeft(TimePoint Now, Milliseconds Left);
 
-  /// Keeps the target out of use until its next heartbeat. Called when its
-  /// failure domain is back in use: the target may be cold again, which only an
-  /// entry newer than the present one states.
-  void requireHeartbeat() { m_AwaitsHeartbeat = true; }
-  bool awaitsHeartbeat() const { return m_AwaitsHeartbeat; }
+  /// Notes that the target may have become cold since its present entry was
+  /// written. It then counts as cold until a newer entry tells, or until
+  /// confirmWarmup().
+  ///
+  /// Invariant: this state doesn't take the target out of use, and it ends
+  /// without a newer entry, since a target writes one only when more than the
+  /// sequence changes.
+  void invalidateWarmup(TimePoint Now) { m_WarmupUnknownSince = Now; }
+  bool isWarmupUnknown() const { return m_WarmupUnknownSince.has_value(); }
+  /// Applies that the entry is known to have been the newest one at KnownAt:
+  /// a target that was in need of another entry would have written it by then.
+  void confirmWarmup(TimePoint KnownAt);
 
   /// When this host learnt that the target states that it is leaving; unset
   /// while it does not.
@@ -63,7 +73,7 @@
   TargetLoad m_Load;
   SlowStartPacer m_Pace;
   TimePoint m_ColdUntil{};
-  bool m_AwaitsHeartbeat = false;
+  std::optional<TimePoint> m_WarmupUnknownSince;
   std::optional<TimePoint> m_LeavingSince;
   std::optional<double> m_RequestLimit;
   std::unique_ptr<LinkPool> m_Links;
--- a/src/entry/targetregistry.cpp
+++ b/src/entry/targetregistry.cpp
@@ -12,8 +12,8 @@
 /// Least fraction of the peers that must have reported. With fewer reports, the
 /// load reports in a target's own answers are the better estimate.
 constexpr double MinCoverage = 0.5;
-/// Live targets send at least two heartbeats in this time.
-constexpr Milliseconds HeartbeatsExpected{2500};
+/// For so long after a failure domain is back its targets are watched closely.
+constexpr Milliseconds DomainBackWatch{2500};
 /// Enough to move the keys of a leaving owner, and half of the time for which
 /// targets serve after they have said that they leave.
 constexpr Milliseconds LeavingOwnerTime{1500};
@@ -134,7 +134,7 @@
   m_DomainBackAt = m_Clock.now();
   for (const auto &[Id, Node] : m_Nodes)
     if (Node->info().m_FailureDomain == Domain)
-      Node->requireHeartbeat();
+      Node->invalidateWarmup(m_DomainBackAt);
 }
 
 void TargetRegistry::setDomainsOut(const std::set<std::string> &Domains) {
@@ -182,12 +182,19 @@
     Node->load().setPeerLoad(Now, Scaled(InFlight, Id), Scaled(Waiting, Id));
 }
 
+void TargetRegistry::confirmWarmup(TimePoint KnownAt) {
+  if (m_DomainBackAt == TimePoint{})
+    return;
+  for (const auto &[Id, Node] : m_Nodes)
+    Node->confirmWarmup(KnownAt);
+}
+
 bool TargetRegistry::expectsHeartbeats() const {
   if (m_DomainBackAt == TimePoint{} ||
-      m_Clock.now() - m_DomainBackAt >= HeartbeatsExpected)
+      m_Clock.now() - m_DomainBackAt >= DomainBackWatch)
     return false;
   return std::any_of(m_Nodes.begin(), m_Nodes.end(), [](const auto &Each) {
-    return Each.second->awaitsHeartbeat();
+    return Each.second->isWarmupUnknown();
   });
 }
 
@@ -201,16 +208,14 @@
           m_Clock.now() - *Node.leavingSince() < LeavingOwnerTime);
 }
 
-bool TargetRegistry::expectsUsable(const std::string &Pool) const {
+bool TargetRegistry::hasUsable(const std::string &Pool) const {
   const auto &Nodes = findByPool(Pool);
-  return std::any_of(Nodes.begin(), Nodes.end(), [this](const auto &Each) {
-    return isUsable(*Each) || Each->awaitsHeartbeat();
-  });
+  return std::any_of(Nodes.begin(), Nodes.end(),
+                     [this](const auto &Each) { return isUsable(*Each); });
 }
 
 bool TargetRegistry::isInService(const TargetNode &Node) const {
-  return !Node.info().m_Draining && !Node.awaitsHeartbeat() &&
-         !isDomainOut(Node.info().m_FailureDomain);
+  return !Node.info().m_Draining && !isDomainOut(Node.info().m_FailureDomain);
 }
 
 } // namespace monsoon
--- a/src/entry/targetregistry.h
+++ b/src/entry/targetregistry.h
@@ -46,8 +46,8 @@
   /// Targets that told this host so lately, with their incarnations; without
   /// those whose entry in the membership says it as well.
   std::map<std::string, int64_t> leavingToReport() const;
-  /// Takes a failure domain out or back. Targets of a domain that is back are
-  /// not used before their next heartbeat.
+  /// Takes a failure domain out or back. Targets of a domain that is back count
+  /// as cold until their entries tell or confirmWarmup() ends that.
   void setDomainOut(const std::string &Domain, bool Out);
   /// Replaces the set of failure domains that are out.
   void setDomainsOut(const std::set<std::string> &Domains);
@@ -67,18 +67,19 @@
                       double Coverage);
 
   /// True while heartbeats of a domain that has just come back are expected,
-  /// and some of its targets are out of use until then. A target that is silent
-  /// for longer may be gone.
+  /// and some of its targets count as cold until then.
   bool expectsHeartbeats() const;
+  /// Applies that all entries are known that had been written at KnownAt.
+  void confirmWarmup(TimePoint KnownAt);
   /// True if the target may get new requests: it is not draining or leaving,
-  /// its failure domain is not out, and no heartbeat is awaited.
+  /// and its failure domain is not out.
   bool isUsable(const TargetNode &Node) const;
   /// The same for the owner of a key, whom no other target can replace. One
   /// that has said in an answer that it is leaving goes on getting requests
   /// until its keys have been moved, but no longer than 1.5 s.
   bool isUsableOwner(const TargetNode &Node) const;
-  /// True if a target of the pool is usable or will be at its next heartbeat.
-  bool expectsUsable(const std::string &Pool) const;
+  /// True if a target of the pool is usable.
+  bool hasUsable(const std::string &Pool) const;
   bool isDomainOut(const std::string &Domain) const {
     return m_DomainsOut.count(Domain) > 0;
   }
--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -395,7 +395,7 @@
       }
       const auto Entry = decodeTargetEntry(Each.m_Key, *Each.m_Value);
       const TargetNodePtr Known = m_Targets.find(Each.m_Key);
-      const bool IsAwaited = Known && Known->awaitsHeartbeat();
+      const bool IsAwaited = Known && Known->isWarmupUnknown();
       if (Entry && (m_Directory.applyEntry(Now, Entry.value()) || IsAwaited)) {
         m_MembershipTopic.publish(Each);
         Changed = true;
@@ -492,6 +492,9 @@
     if (m_MembershipTopic.isSynced())
       m_Directory.noteUpToDate(m_MembershipTopic.upToDateAt());
     updateTargets(Now);
+    // After updateTargets(), which applies the entries read so far.
+    if (m_MembershipTopic.isSynced())
+      m_Targets.confirmWarmup(m_MembershipTopic.upToDateAt());
     if (m_EvacuatedDomains.takeRereadDue(Now))
       m_OperatorTopic.requestFullRead();
     m_OperatorTopic.tick();
--- a/tests/entry/entrybench.h
+++ b/tests/entry/entrybench.h
@@ -180,6 +180,9 @@
   std::function<void(const RouteIndex &)> m_OnRoutes;
   Dispatcher::OwnershipLookup m_FindOwnership;
   bool m_OrdersAreKeyed = false;
+  /// Requests a second to a cold target, in the versions installed from now on;
+  /// 0: no limit.
+  double m_WarmupRate = 0;
   std::unique_ptr<TargetRegistry> m_Registry;
   std::unique_ptr<HostMembership> m_Hosts;
   std::unique_ptr<Dispatcher> m_Dispatcher;
--- a/tests/soak/soakserver.h
+++ b/tests/soak/soakserver.h
@@ -62,7 +62,8 @@
   /// later.
   void drain();
   bool isDraining() const { return m_IsDraining; }
-  /// While true, no heartbeats are sent to the store.
+  /// While true, no heartbeats are sent to the store, which removes the entry
+  /// after EntryLifetime.
   void setCutFromStore(bool IsCut) { m_IsCutFromStore = IsCut; }
   /// The store was restored from an older copy. Entries that had lapsed and are
   /// back in it lapse again; its own is written by the next heartbeat.
@@ -84,6 +85,9 @@
   class Job;
 
   void sendHeartbeat();
+  /// Writes the entry if more than its sequence has changed, or if the store
+  /// has lost it.
+  void updateEntry();
   HttpResponse makeResponse(int Status) const;
   HttpResponse makeNotExecuted(int Status) const;
   HttpResponse handleGrant(const std::string &Body);
@@ -112,6 +116,10 @@
   /// Start of the incarnation, in milliseconds since the epoch.
   int64_t m_Incarnation = 0;
   int64_t m_Sequence = 0;
+  /// The entry as last written, and the same without its sequence.
+  std::string m_WrittenEntry;
+  std::string m_WrittenState;
+  TimePoint m_LastHeartbeat{};
   std::vector<HeldGrant> m_HeldGrants;
   /// All grants accepted in this incarnation, to refuse those with older
   /// fences.
