Answers to HEAD have no body, whoever makes them

Cause: CallerSession wrote the body of every answer; the slot of a request did not know its method. Ruled out: the parser of targets' answers, which is told the method.

The slot knows it now, also for requests that are refused by their head or as malformed, and every answer is written by its slot. An answer of a target to HEAD, which said Content-Length: 0, names no length.

Evidence: the three cases nettest -tc="head:*" fail on the code before and pass now.

--- a/src/core/httpmessage.cpp
+++ b/src/core/httpmessage.cpp
@@ -78,15 +78,19 @@
   return Text;
 }
 
-std::string writeResponseHead(const HttpResponse &Response, bool Close) {
+std::string writeResponseHead(const HttpResponse &Response,
+                              ResponseFraming Framing) {
   std::string Text =
       absl::StrCat("HTTP/1.1 ", Response.m_Status, " ",
                    toAbsl(reasonPhrase(Response.m_Status)), "\r\n");
   appendFields(Text, Response.m_Fields);
-  // 204 and 304 responses have no body, and a length would contradict that.
-  if (Response.m_Status != 204 && Response.m_Status != 304)
+  // 204 and 304 responses have no body, and a length would contradict that. To
+  // HEAD a target leaves out the body whose length is named here.
+  const bool HasLength = Response.m_Status != 204 && Response.m_Status != 304 &&
+                         !(Framing.m_IsToHead && Response.m_Body.empty());
+  if (HasLength)
     absl::StrAppend(&Text, "Content-Length: ", Response.m_Body.size(), "\r\n");
-  if (Close)
+  if (Framing.m_Closes)
     absl::StrAppend(&Text, "Connection: close\r\n");
   absl::StrAppend(&Text, "\r\n");
   return Text;
--- a/src/core/httpmessage.h
+++ b/src/core/httpmessage.h
@@ -68,9 +68,19 @@
 /// when there is a body.
 std::string writeRequestHead(const HttpRequest &Request);
 
+/// How a response ends, apart from its content.
+struct ResponseFraming {
+  /// The connection is closed after it.
+  bool m_Closes = false;
+  /// It answers a HEAD request, so it has no body whatever its fields say.
+  bool m_IsToHead = false;
+};
+
 /// Serializes the status line and the header fields, and adds Content-Length
-/// unless the status forbids a body. Close adds "Connection: close".
-std::string writeResponseHead(const HttpResponse &Response, bool Close);
+/// unless the status forbids a body. A response to HEAD names the length of the
+/// body that is left out; none if there is no body to measure.
+std::string writeResponseHead(const HttpResponse &Response,
+                              ResponseFraming Framing);
 
 /// The reason phrase of a status code; "Status" for codes without one here.
 std::string_view reasonPhrase(int Status);
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -27,6 +27,8 @@
 /// Maximum number of pipelined requests of one connection that are handled
 /// concurrently.
 constexpr size_t MaxPipelined = 32;
+/// A method whose responses have no body.
+constexpr std::string_view HeadMethod = "HEAD";
 /// Time that a caller has to read the last response before the connection is
 /// closed; bytes that it still sends are discarded.
 constexpr Milliseconds CloseTimeout{1000};
@@ -263,11 +265,13 @@
   const std::string Violation = IsOldVersion
                                     ? std::string("HTTP/1.1 is required")
                                     : validationError(Request);
+  const bool IsHead = Request.m_Method == HeadMethod;
   if (!Violation.empty()) {
-    refuse(ErrorKind::BadRequest, Violation);
+    refuse(m_Handler.refuse(ErrorKind::BadRequest, Violation), IsHead);
     return;
   }
   const auto Current = std::make_shared<Slot>();
+  Current->m_IsHead = IsHead;
   Current->m_IsLast = !KeepAlive;
   if (!KeepAlive)
     m_IsClosing = true;
@@ -290,10 +294,11 @@
 bool CallerSession::refusedByHeader() {
   if (std::exchange(m_HasCheckedHeader, true))
     return false;
-  auto Refusal = m_Handler.refuseByHeader(toRequest(m_Parser->get()));
+  const HttpRequest Head = toRequest(m_Parser->get());
+  auto Refusal = m_Handler.refuseByHeader(Head);
   if (!Refusal)
     return false;
-  refuse(std::move(*Refusal));
+  refuse(std::move(*Refusal), Head.m_Method == HeadMethod);
   return true;
 }
 
@@ -308,14 +313,17 @@
 }
 
 void CallerSession::refuse(ErrorKind Kind, const std::string &Detail) {
-  refuse(m_Handler.refuse(Kind, Detail));
+  // Known as soon as the request line was read.
+  const bool IsHead = m_Parser->get().method() == http::verb::head;
+  refuse(m_Handler.refuse(Kind, Detail), IsHead);
 }
 
-void CallerSession::refuse(HttpResponse Response) {
+void CallerSession::refuse(HttpResponse Response, bool IsHead) {
   m_IsClosing = true;
   m_Buffer.clear();
   const auto Current = std::make_shared<Slot>();
   Current->m_IsLast = true;
+  Current->m_IsHead = IsHead;
   m_Slots.push_back(Current);
   answered(Current, std::move(Response));
 }
@@ -343,8 +351,10 @@
         !m_Parser->got_some())
       m_IsClosing = Current->m_IsLast = true;
     IsLast = Current->m_IsLast;
-    m_Output.push_back(writeResponseHead(*Current->m_Response, IsLast));
-    m_Output.push_back(std::move(Current->m_Response->m_Body));
+    m_Output.push_back(
+        writeResponseHead(*Current->m_Response, {IsLast, Current->m_IsHead}));
+    if (!Current->m_IsHead)
+      m_Output.push_back(std::move(Current->m_Response->m_Body));
   }
   if (!m_Output.empty())
     writeOutput();
--- a/src/net/callersession.h
+++ b/src/net/callersession.h
@@ -62,11 +62,16 @@
 
   /// A request whose response is not yet written; kept in the order of
   /// arrival.
+  ///
+  /// Invariant: a response ends where the method of its request says. Each
+  /// response is written by its slot, whoever made it, and the slot of a
+  /// request whose method could be read knows it.
   struct Slot {
     std::shared_ptr<PendingRequest> m_Pending;
     std::optional<HttpResponse> m_Response;
     /// The connection is closed after this response.
     bool m_IsLast = false;
+    bool m_IsHead = false;
   };
 
   void startRead();
@@ -82,9 +87,10 @@
   /// for that. True if it was refused.
   bool refusedByHeader();
   void parseFailed(const boost::system::error_code &Error);
+  /// Refuses the request that is being read.
   void refuse(ErrorKind Kind, const std::string &Detail);
   /// Gives the response and closes the connection after it.
-  void refuse(HttpResponse Response);
+  void refuse(HttpResponse Response, bool IsHead);
   void answered(const std::shared_ptr<Slot> &Current, HttpResponse Response);
   void writeCompleted();
   void written(const boost::system::error_code &Error, bool IsLast);
--- a/tests/net/httpmessagetest.cpp
+++ b/tests/net/httpmessagetest.cpp
@@ -34,7 +34,7 @@
   HttpResponse Answer;
   Answer.m_Status = 503;
   Answer.m_Body = "busy";
-  CHECK(writeResponseHead(Answer, true) ==
+  CHECK(writeResponseHead(Answer, {true, false}) ==
         "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n"
         "Connection: close\r\n\r\n");
 }
--- a/tests/net/pipeliningtest.cpp
+++ b/tests/net/pipeliningtest.cpp
@@ -177,4 +177,46 @@
       }
     }
   }
+
+  // Guards against bodies in answers to HEAD, which callers take for the start
+  // of the next answer.
+  TEST_CASE("head: an answer to HEAD has no body, whoever made it") {
+    SessionBench Bench;
+    const auto Peer = Bench.connect();
+    Peer->send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n" + get("/2"));
+    REQUIRE(Bench.awaitRequests(2));
+    Bench.m_Handler.answer(0, "failure in words");
+    Bench.m_Handler.answer(1, "served");
+    REQUIRE(Bench.awaitText(*Peer, "served"));
+    const std::string &Text = Peer->received();
+    CHECK(!absl::StrContains(Text, "failure in words"));
+    CHECK(absl::StrContains(Text, "Content-Length: 16\r\n\r\nHTTP/1.1 200"));
+  }
+
+  TEST_CASE("head: an answer without a body to HEAD names no length") {
+    SessionBench Bench;
+    const auto Peer = Bench.connect();
+    Peer->send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(Bench.awaitRequests(1));
+    Bench.m_Handler.answer(0, "");
+    REQUIRE(Bench.awaitText(*Peer, "\r\n\r\n"));
+    CHECK(!absl::StrContains(Peer->received(), "Content-Length"));
+  }
+
+  TEST_CASE("head: refusals of HEAD requests have no body") {
+    for (const std::string Rest :
+         {"Host: a\r\nUnwanted: 1\r\nContent-Length: 5\r\n\r\n",
+          "Host: a\r\nHost: b\r\n\r\n", "Host a\r\n\r\n",
+          "Host: a\r\nContent-Length: 99999999\r\n\r\n"}) {
+      CAPTURE(Rest);
+      SessionBench Bench;
+      Bench.m_Handler.m_RefusalBody = "refused in words";
+      const auto Peer = Bench.connect();
+      Peer->send("HEAD /1 HTTP/1.1\r\n" + Rest);
+      CHECK(runUntil(Bench.m_Loop, [&]() { return Peer->hasEnded(); }));
+      const std::string &Text = Peer->received();
+      CHECK(absl::StartsWith(Text, "HTTP/1.1 4"));
+      CHECK(absl::EndsWith(Text, "\r\n\r\n"));
+    }
+  }
 }
--- a/tests/net/sessionbench.h
+++ b/tests/net/sessionbench.h
@@ -36,7 +36,8 @@
 
   std::shared_ptr<PendingRequest> handle(HttpRequest Request,
                                          Reply Done) override {
-    const auto Added = std::make_shared<PendingCall>(Request.m_Method == "GET");
+    const auto Added =
+        std::make_shared<PendingCall>(Request.m_Method != "POST");
     Added->m_Request = std::move(Request);
     Added->m_Reply = std::move(Done);
     m_Pending.push_back(Added);
@@ -46,6 +47,7 @@
   HttpResponse refuse(ErrorKind Kind, const std::string & /*Detail*/) override {
     HttpResponse Answer;
     Answer.m_Status = errorRule(Kind).m_Status;
+    Answer.m_Body = m_RefusalBody;
     return Answer;
   }
 
@@ -54,6 +56,7 @@
       return std::nullopt;
     HttpResponse Answer;
     Answer.m_Status = 401;
+    Answer.m_Body = m_RefusalBody;
     return Answer;
   }
 
@@ -67,6 +70,7 @@
   }
 
   RequestLimits m_Limits;
+  std::string m_RefusalBody;
   std::vector<std::shared_ptr<PendingCall>> m_Pending;
 };
 
--- a/tests/soak/pipeliningcaller.cpp
+++ b/tests/soak/pipeliningcaller.cpp
@@ -27,6 +27,7 @@
 constexpr uint64_t LongestSegment = 4000;
 constexpr uint64_t LongestOrder = 100'000;
 constexpr uint64_t OrderPeriod = 12;
+constexpr uint64_t HeadPeriod = 5;
 constexpr uint64_t KeyCount = 65'536;
 constexpr size_t ReadBytes = 16 << 10;
 
@@ -90,7 +91,8 @@
   const bool IsOrder = m_Parts.m_Random() % OrderPeriod == 0;
   const std::string Id = absl::StrFormat("%04x%08x", m_Number, ++m_SentCount);
   HttpRequest Request;
-  Request.m_Method = IsOrder ? "POST" : "GET";
+  const bool IsHead = m_Parts.m_Random() % HeadPeriod == 0;
+  Request.m_Method = IsOrder ? "POST" : IsHead ? "HEAD" : "GET";
   Request.m_Target =
       IsOrder ? absl::StrCat("/order/v", m_Parts.m_VersionInForce(), "/", Id)
               : absl::StrCat("/ledger/", Id);
--- a/tests/soak/pipeliningcaller.h
+++ b/tests/soak/pipeliningcaller.h
@@ -15,8 +15,8 @@
 namespace monsoon {
 
 /// A caller that sends batches of up to 90 requests ahead on one connection,
-/// lookups with orders among them, in segments of random sizes. Checks that the
-/// answers come in order and belong to their requests.
+/// lookups with orders and HEAD among them, in segments of random sizes. Checks
+/// that the answers come in order and belong to their requests.
 class PipeliningCaller {
 public:
   PipeliningCaller(int Number, const SoakCaller::Parts &Shared);
