A caller behind other requests gets its 100 Continue

A caller that sent a request with Expect: 100-continue behind another one on the connection got no 100 Continue if the header was read before the answer to the first was written, and waited until it gave up or the idle timeout closed the connection.

Cause: the session looked whether one is awaited only while it parsed bytes, and no more bytes come from a caller that waits.

The session looks again whenever an answer has been written. The new case of nettest fails on the code before.

--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -225,17 +225,23 @@
     }
     if (m_Parser->is_header_done() && refusedByHeader())
       return;
-    if (m_Parser->is_header_done() && !m_HasSentContinue && m_Slots.empty() &&
-        !m_IsWriting && m_Parser->get().count(http::field::expect) > 0) {
-      m_HasSentContinue = true;
-      m_Output = {"HTTP/1.1 100 Continue\r\n\r\n"};
-      writeOutput();
-    }
+    sendContinueIfAwaited();
     if (Consumed == 0)
       return;
   }
 }
 
+void CallerSession::sendContinueIfAwaited() {
+  const bool IsAwaited = m_Parser->is_header_done() && !m_Parser->is_done() &&
+                         !m_HasSentContinue &&
+                         m_Parser->get().count(http::field::expect) > 0;
+  if (!IsAwaited || !m_Slots.empty() || m_IsWriting || m_IsClosing)
+    return;
+  m_HasSentContinue = true;
+  m_Output = {"HTTP/1.1 100 Continue\r\n\r\n"};
+  writeOutput();
+}
+
 std::string CallerSession::validationError(const HttpRequest &Request) const {
   if (Request.m_Target.empty() || Request.m_Target.front() != '/')
     return "the request target must be a path that starts with /";
@@ -397,6 +403,8 @@
     return;
   }
   writeCompleted();
+  // The header may have been read while earlier requests were in flight.
+  sendContinueIfAwaited();
   parse();
   startRead();
   if (m_ClosesWhenIdle)
--- a/src/net/callersession.h
+++ b/src/net/callersession.h
@@ -77,6 +77,9 @@
   void startRead();
   void received(const boost::system::error_code &Error, size_t Size);
   void parse();
+  /// Sends 100 Continue if the request that is being read asks for it, once all
+  /// earlier ones are answered.
+  void sendContinueIfAwaited();
   void newParser();
   bool mayStartNext() const;
   /// Checks what the parser does not: the request target, Host and the framing
--- a/tests/net/pipeliningtest.cpp
+++ b/tests/net/pipeliningtest.cpp
@@ -219,4 +219,21 @@
       CHECK(absl::EndsWith(Text, "\r\n\r\n"));
     }
   }
+
+  // Guards against a caller that waits for 100 Continue for ever.
+  TEST_CASE("a request that expects 100 Continue gets it once the ones before "
+            "it are answered") {
+    SessionBench Bench;
+    const auto Peer = Bench.connect();
+    Peer->send(get("/1") + "POST /2 HTTP/1.1\r\nHost: a\r\nExpect: "
+                           "100-continue\r\nContent-Length: 4\r\n\r\n");
+    REQUIRE(Bench.awaitRequests(1));
+    Bench.runBriefly();
+    CHECK(Peer->received().empty());
+    Bench.m_Handler.answer(0, "served");
+    REQUIRE(Bench.awaitText(*Peer, "HTTP/1.1 100 Continue\r\n\r\n"));
+    Peer->send("body");
+    REQUIRE(Bench.awaitRequests(2));
+    CHECK(Bench.m_Handler.m_Pending[1]->m_Request.m_Body == "body");
+  }
 }
