The end of a failed connection does not complete a response

Cause: the operating system reports the failure of a connection once, to whichever call comes first, and later reads return an end like that of the peer's stream. HttpLink left writes to the event loop, which runs a pending write before a pending read, so the write got the error. written() passed over it if some bytes had been sent ("handled by the read"), and handleReadError() took the end that the read saw for the end of the body. Any failure that a write can get first ends a connection that way: a reset, the user timeout of unacknowledged bytes, an unreachable host.

Change: the class states what it must know of a connection whose end completes a response, and keeps it: the peer ended its stream. HttpLink makes each write itself, so a failure is noted in the call that consumes it, before any later read; the verdict does not depend on the order of the handlers. Linux reports EPIPE for a reset that follows the end of the peer's stream and other errors for a failure before it, so an answer that ended in order stays whole when the rest of the request meets a reset. Ruled out: letting every write error spoil the answer, which loses those answers; waiting for the write's handler, which never comes if the peer stops reading.

A complete answer with a length, on a connection that failed while its request was written, also left the link free for the next request. It closes now.

Evidence: nettest -tc="reset while writing*","timeout while writing*".

Where answers end with their connection: - targets, new and reused links, after interim responses: mended (HttpLink); - with a length or in chunks, trailers included: holding (nettest "the part of a response with a length or in chunks is lost", "a complete response ... is whole"); - the store's answers to appends: mended by the same; to reads, and to grants and releases, whose requests are short: holding (platformtest "reset: the part of an answer to a read, a grant or a release is lost"); - the former program (src/http): holding. Its exchange ends with the first write error, and it reads only after the whole request is written (httptest "reset while writing*"). What stays right has cases of its own: an answer without a length whose stream ended, in any order with the reset; early answers of peers that read on.

Why tests and soak had missed it: the stand-ins that reset a connection in the middle of an answer had read the whole request before, and the soak's servers name the length of every answer.

--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -4,7 +4,7 @@
 
 #include "absl/strings/numbers.h"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <array>
@@ -21,6 +21,9 @@
 /// Bytes asked for by one read outside and (below) inside a response body.
 constexpr size_t ReadBytes = 16 << 10;
 constexpr size_t BodyReadBytes = 64 << 10;
+/// Limit of the bytes written at a time, so that a long request leaves the
+/// event loop to others.
+constexpr size_t WriteBytes = 64 << 10;
 constexpr size_t MaxResponseHeaderBytes = 64 << 10;
 /// More bytes than this without a complete part, such as the extension of a
 /// chunk, are no response.
@@ -67,6 +70,19 @@
 
 } // namespace
 
+size_t HttpLink::Message::size() const {
+  return m_Head.size() + (m_Body ? m_Body->size() : 0);
+}
+
+std::array<asio::const_buffer, 2> HttpLink::Message::part(size_t Start) const {
+  const asio::const_buffer Head = asio::buffer(m_Head) + Start;
+  const asio::const_buffer Body =
+      m_Body ? asio::buffer(*m_Body) + (Start - std::min(Start, m_Head.size()))
+             : asio::const_buffer();
+  return {asio::buffer(Head, WriteBytes),
+          asio::buffer(Body, WriteBytes - std::min(Head.size(), WriteBytes))};
+}
+
 HttpLink::HttpLink(asio::io_context &Loop, const Clock &Time, Options Config)
     : m_Socket(Loop), m_Timer(Loop), m_Clock(Time), m_Config(std::move(Config)),
       m_IdleSince(Time.now()), m_PeerIdleTimeout(DefaultPeerIdleTimeout) {}
@@ -125,6 +141,12 @@
     finish(IsRefused ? LinkResult::Refused : LinkResult::NotSent, {});
     return;
   }
+  error_code OptionError;
+  m_Socket.non_blocking(true, OptionError);
+  if (OptionError) {
+    finish(LinkResult::NotSent, {});
+    return;
+  }
   setSocketOptions(m_Socket, m_Config.m_UserTimeout);
   m_IsConnected = true;
   startRead();
@@ -139,30 +161,63 @@
   if (m_Timeout.count() > 0)
     startTimer(m_Timeout, LinkResult::Lost);
   m_IsWriting = true;
-  const std::array<asio::const_buffer, 2> Parts = {
-      asio::buffer(m_Message->m_Head), m_Message->m_Body
-                                           ? asio::buffer(*m_Message->m_Body)
-                                           : asio::const_buffer()};
-  asio::async_write(m_Socket, Parts,
-                    [Self = shared_from_this(), Buffers = m_Message](
-                        const error_code &Error, size_t Size) {
-                      Self->written(Error, Size);
-                    });
+  m_WrittenBytes = 0;
+  writePart();
 }
 
-void HttpLink::written(const error_code &Error, size_t Size) {
-  m_IsWriting = false;
+void HttpLink::writePart() {
+  error_code Error;
+  const size_t Size =
+      m_Socket.write_some(m_Message->part(m_WrittenBytes), Error);
+  m_WrittenBytes += Size;
   if (m_Config.m_Traffic)
     m_Config.m_Traffic->m_Sent += Size;
+  if (Error == asio::error::would_block)
+    m_Socket.async_wait(asio::ip::tcp::socket::wait_write,
+                        [Self = shared_from_this(),
+                         Buffers = m_Message](const error_code & /*Error*/) {
+                          Self->continueWrite();
+                        });
+  else if (Error)
+    writeFailed(Error);
+  else if (m_WrittenBytes == m_Message->size())
+    writeEnded();
+  else
+    asio::post(m_Socket.get_executor(),
+               [Self = shared_from_this(), Buffers = m_Message]() {
+                 Self->continueWrite();
+               });
+}
+
+void HttpLink::continueWrite() {
+  if (m_State == State::Closed)
+    m_Message = nullptr;
+  else
+    writePart();
+}
+
+void HttpLink::writeFailed(const error_code &Error) {
+  m_IsWriting = false;
   m_Message = nullptr;
-  // Connection failures are handled by the read, so a write error only matters
-  // when no byte was written, since the request was not sent then, and when the
-  // request has had its response.
-  if (m_State == State::Busy && Error && Size == 0)
-    finish(LinkResult::NotSent, {});
-  else if (m_State == State::Finishing && Error)
+  m_ClosesAfterResponse = true;
+  // Linux reports EPIPE if the connection was reset after the end of the peer's
+  // stream, and another error if it failed before. A timeout may also follow an
+  // end that was not read yet; the response then counts as lost.
+  m_HasFailed = Error != asio::error::broken_pipe;
+  if (m_State == State::Finishing)
     close();
-  else if (m_State == State::Finishing)
+  else if (m_WrittenBytes == 0)
+    // send() calls no callback before it returns.
+    asio::post(m_Socket.get_executor(), [Self = shared_from_this()]() {
+      if (Self->m_State == State::Busy)
+        Self->finish(LinkResult::NotSent, {});
+    });
+}
+
+void HttpLink::writeEnded() {
+  m_IsWriting = false;
+  m_Message = nullptr;
+  if (m_State == State::Finishing)
     becomeFree();
 }
 
@@ -241,9 +296,8 @@
     return;
   }
   error_code ParseError;
-  // A response without a length is complete only if the peer closed the
-  // connection without a reset.
-  if (Error == asio::error::eof && m_Parser->is_header_done() &&
+  // A response without a length is complete only if the peer ended its stream.
+  if (Error == asio::error::eof && !m_HasFailed && m_Parser->is_header_done() &&
       m_Parser->need_eof()) {
     m_Parser->put_eof(ParseError);
     if (!ParseError && m_Parser->is_done()) {
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -14,6 +14,7 @@
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -46,6 +47,12 @@
 /// request is completely written: a peer that responds early still reads the
 /// rest of the body, and would take the bytes of another request for it. A
 /// response belongs to the request whose id it repeats; see Options.
+///
+/// The end of the connection completes a response without a length only if the
+/// peer ended its stream (FIN). The operating system reports a failed
+/// connection to one call, and later reads see an end like that of the stream.
+/// So the link makes each write itself, instead of leaving it to the event
+/// loop, and notes a failure before the next read.
 class HttpLink : public std::enable_shared_from_this<HttpLink> {
 public:
   /// Called once per request, unless close() is called first.
@@ -124,12 +131,20 @@
   struct Message {
     std::string m_Head;
     std::shared_ptr<const std::string> m_Body;
+
+    size_t size() const;
+    /// The bytes after the first Start ones; at most one system call's worth.
+    std::array<boost::asio::const_buffer, 2> part(size_t Start) const;
   };
 
   void connect();
   void connected(const boost::system::error_code &Error);
   void write();
-  void written(const boost::system::error_code &Error, size_t Size);
+  /// Writes what the socket takes at once, and continues from the event loop.
+  void writePart();
+  void continueWrite();
+  void writeFailed(const boost::system::error_code &Error);
+  void writeEnded();
   void startRead();
   void received(const boost::system::error_code &Error, size_t Size);
   void handleReadError(const boost::system::error_code &Error);
@@ -164,6 +179,11 @@
 
   std::shared_ptr<const Message> m_Message;
   bool m_IsWriting = false;
+  /// Bytes of the request that the socket has taken.
+  size_t m_WrittenBytes = 0;
+  /// True when a write has failed before the peer ended its stream. What reads
+  /// as the end of the stream is that failure.
+  bool m_HasFailed = false;
   std::string m_RequestId;
   bool m_ExpectsBody = true;
   Milliseconds m_Timeout{0};
--- /dev/null
+++ b/tests/http/brokenanswertest.cpp
@@ -0,0 +1,77 @@
+#include "http/brokentarget.h"
+#include "http/httplog.h"
+#include "http/targetclient.h"
+
+#include <doctest.h>
+
+#include <string>
+
+using namespace monsoon;
+
+namespace {
+
+/// Longer than the buffers of both sockets of a loopback connection.
+constexpr size_t LongBodyBytes = 24 << 20;
+const Milliseconds Limit{2000};
+
+/// What the former program makes of the answers of a target.
+AttemptResult sendTo(BrokenTarget &Server, size_t BodyBytes = 0) {
+  TargetClient Client;
+  CallerRequest Request;
+  Request.m_Method = "POST";
+  Request.m_Uri = "/work";
+  Request.m_Body.assign(BodyBytes, 'b');
+  Attempt Order;
+  Order.m_Request = &Request;
+  Order.m_Target = {"t1", "127.0.0.1", Server.port(), "d1", 2, 100};
+  Order.m_CorrelationId = "c";
+  Order.m_Deadline = std::chrono::steady_clock::now() + Limit;
+  Order.m_ConnectionShare = 10;
+  return Client.send(
+      Order, []() { return true; }, nullptr);
+}
+
+std::string answer(const std::string &Status, const std::string &Rest) {
+  return "HTTP/1.1 " + Status + "\r\nX-Correlation-Id: c\r\n" + Rest;
+}
+
+Outcome<LogOffset> appendFor(const std::string &Bytes, BrokenTarget::End End,
+                             size_t DataBytes = 1) {
+  CAPTURE(Bytes);
+  BrokenTarget Server({Bytes, End});
+  HttpLog Log(Endpoint{"127.0.0.1", Server.port()});
+  return Log.append("s", std::string(DataBytes, 'x'));
+}
+
+} // namespace
+
+TEST_SUITE("whole-answer") {
+  TEST_CASE("reset while writing: the part of an answer is no answer") {
+    for (const char *Rest : {"\r\nabc", "Content-Length: 9\r\n\r\nabc",
+                             "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"})
+      for (const int PauseMs : {0, 1, 5, 30})
+        for (const size_t Size : {size_t{0}, LongBodyBytes}) {
+          CAPTURE(Rest);
+          CAPTURE(PauseMs);
+          CAPTURE(Size);
+          BrokenTarget Server({answer("200 OK", Rest), BrokenTarget::End::Reset,
+                               Milliseconds(PauseMs)});
+          CHECK(!sendTo(Server, Size).isAnswered());
+        }
+  }
+
+  TEST_CASE("reset while writing: the part of an answer of the log is no "
+            "answer") {
+    for (const size_t Size : {size_t{1}, LongBodyBytes})
+      CHECK(!appendFor("HTTP/1.1 200 OK\r\n\r\n{\"offset\": 7}",
+                       BrokenTarget::End::Reset, Size)
+                 .has_value());
+  }
+
+  TEST_CASE("an answer of the log without a length is whole when its stream "
+            "ended") {
+    CHECK(appendFor("HTTP/1.1 200 OK\r\n\r\n{\"offset\": 7}",
+                    BrokenTarget::End::Close)
+              .has_value());
+  }
+}
--- /dev/null
+++ b/tests/net/brokenresponsetest.cpp
@@ -0,0 +1,145 @@
+#include "net/linkbench.h"
+
+#include <doctest.h>
+
+#include <string>
+
+using namespace monsoon;
+
+namespace {
+
+/// Pauses of a peer between its response and the end of the connection.
+constexpr Milliseconds Pauses[] = {Milliseconds(0), Milliseconds(1),
+                                   Milliseconds(5), Milliseconds(30)};
+/// The handlers of the write and of the read may run in either order.
+constexpr int Rounds = 5;
+
+/// Runs the loop for a time.
+void runFor(LinkBench &Bench, Milliseconds Length) {
+  runUntil(
+      Bench.m_Loop, []() { return false; }, Length);
+}
+
+/// Sends a request that the peer does not read to its end, over a new
+/// connection or over one that has carried a request before.
+std::shared_ptr<HttpLink> sendLong(LinkBench &Bench, bool IsReused) {
+  if (IsReused) {
+    Bench.send("0");
+    Bench.peer().send(answer("0", "earlier"));
+    REQUIRE(Bench.result() == LinkResult::Answered);
+    Bench.peer().pause();
+  }
+  return Bench.sendUnread("1", makeBody(LongBodyBytes));
+}
+
+/// A response in which the rest of a message follows the status line.
+std::string response(const std::string &Status, const std::string &Rest) {
+  return "HTTP/1.1 " + Status + "\r\nX-Id: 1\r\n" + Rest;
+}
+
+} // namespace
+
+TEST_SUITE("whole-answer") {
+  TEST_CASE("reset while writing: the part of a response without a length is "
+            "lost") {
+    for (const bool IsReused : {false, true})
+      for (const bool IsAfterInterim : {false, true})
+        for (const Milliseconds Pause : Pauses)
+          for (int Round = 0; Round < Rounds; ++Round) {
+            CAPTURE(IsReused);
+            CAPTURE(IsAfterInterim);
+            CAPTURE(Pause.count());
+            LinkBench Bench;
+            const auto Link = sendLong(Bench, IsReused);
+            if (IsAfterInterim)
+              Bench.peer().send("HTTP/1.1 103 Early Hints\r\n\r\n");
+            Bench.peer().send(response("200 OK", "\r\nabc"));
+            runFor(Bench, Pause);
+            Bench.peer().reset();
+            CHECK(Bench.result() == LinkResult::Lost);
+            CHECK(Link->isClosed());
+          }
+  }
+
+  TEST_CASE("reset while writing: the part of a response with a length or in "
+            "chunks is lost") {
+    for (const char *Rest : {"Content-Length: 9\r\n\r\nabc",
+                             "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+                             "Transfer-Encoding: chunked\r\n\r\n0\r\nX-End: 1"})
+      for (const Milliseconds Pause : Pauses) {
+        CAPTURE(Rest);
+        CAPTURE(Pause.count());
+        LinkBench Bench;
+        sendLong(Bench, false);
+        Bench.peer().send(response("200 OK", Rest));
+        runFor(Bench, Pause);
+        Bench.peer().reset();
+        CHECK(Bench.result() == LinkResult::Lost);
+      }
+  }
+
+  TEST_CASE("timeout while writing: the part of a response without a length is "
+            "lost") {
+    LinkBench Bench;
+    sendLong(Bench, false);
+    Bench.peer().send(response("200 OK", "\r\nabc"));
+    // The connection fails once sent bytes are not acknowledged in time.
+    CHECK(Bench.result() == LinkResult::Lost);
+  }
+
+  TEST_CASE("reset while writing: a response without a length whose stream "
+            "ended before is whole") {
+    for (const bool IsReused : {false, true})
+      for (const Milliseconds BeforeEnd : Pauses)
+        for (const Milliseconds BeforeReset : Pauses) {
+          CAPTURE(IsReused);
+          CAPTURE(BeforeEnd.count());
+          CAPTURE(BeforeReset.count());
+          LinkBench Bench;
+          const auto Link = sendLong(Bench, IsReused);
+          Bench.peer().send(response("200 OK", "\r\nabc"));
+          runFor(Bench, BeforeEnd);
+          Bench.peer().endStream();
+          runFor(Bench, BeforeReset);
+          Bench.peer().reset();
+          CHECK(Bench.result() == LinkResult::Answered);
+          CHECK(Bench.m_Answer.m_Body == "abc");
+          CHECK(Link->isClosed());
+        }
+  }
+
+  TEST_CASE("reset while writing: a complete response with a length or in "
+            "chunks is whole") {
+    for (const char *Rest :
+         {"Content-Length: 3\r\n\r\nabc",
+          "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"})
+      for (const Milliseconds Pause : Pauses) {
+        CAPTURE(Rest);
+        CAPTURE(Pause.count());
+        LinkBench Bench;
+        const auto Link = sendLong(Bench, false);
+        Bench.peer().send(response("200 OK", Rest));
+        runFor(Bench, Pause);
+        Bench.peer().reset();
+        CHECK(Bench.result() == LinkResult::Answered);
+        CHECK(Bench.m_Answer.m_Body == "abc");
+        CHECK(runUntil(Bench.m_Loop, [&]() { return Link->isClosed(); }));
+      }
+  }
+
+  TEST_CASE("reset while writing: a complete response does not leave the link "
+            "free") {
+    LinkBench Bench;
+    const auto Link = sendLong(Bench, false);
+    // Until the write waits for the peer.
+    runFor(Bench, Milliseconds(50));
+    Bench.peer().send(answer("1", "abc"));
+    Bench.peer().reset();
+    CHECK(runUntil(Bench.m_Loop, [&]() {
+      CHECK(!Link->isConnected());
+      return Bench.m_Result.has_value();
+    }));
+    CHECK(Bench.m_Result == LinkResult::Answered);
+    CHECK(Link->isClosed());
+  }
+}
--- a/tests/net/rawpeer.h
+++ b/tests/net/rawpeer.h
@@ -35,6 +35,8 @@
 public:
   explicit RawPeer(boost::asio::ip::tcp::socket Socket)
       : m_Socket(std::move(Socket)) {
+    boost::system::error_code Ignored;
+    m_Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
     read();
   }
 
@@ -47,6 +49,11 @@
     m_Socket.close(Ignored);
   }
   void reset() { resetSocket(m_Socket); }
+  /// Ends the stream of sent bytes in order; the connection stays open.
+  void endStream() {
+    boost::system::error_code Ignored;
+    m_Socket.shutdown(boost::asio::ip::tcp::socket::shutdown_send, Ignored);
+  }
   /// Stops reading after the bytes that are read next, until resume().
   void pause() { m_IsPaused = true; }
   void resume() {
