A response has a status of the protocol

Callers got status lines like "HTTP/1.1 0 Status" for a target's answer of status 000 without a length, and 600 or 999 as answers. A 000 with a length was passed over, and the bytes after it were taken for the answer: to a grant or a release, too, which then counted as accepted.

Cause: HttpLink asked for one bound only, "below 200 is interim", and only where the parser had seen the end of a response; the way by the end of the connection did not ask at all. The parser takes any three digits.

Change: responseKind() in core says which statuses are interim, final, or none of the protocol (RFC 9110, 15: 100 to 599; 101 is none, as no request asks for another protocol). HttpLink asks it once, when the header is received, for every framing; a status that is none ends the request as garbled, which callers see as 502 or a repeat where that is allowed. Ruled out: passing 600 and above on as a 500, which would bear the target's signature under another status.

Evidence: nettest "a status that is none of the protocol is no response" (000, 001, 099, 600 and 999; with a length, empty, in chunks, without; whole, in pieces of seven and of one byte; new and reused links) and "a response does not follow one whose status is none of the protocol" failed on the code before, as did platformtest "an answer does not follow one whose status is none ... to a grant or a release"; all pass now. The statuses 200 to 599 stay answers, and interim ones are passed over (nettest "each final status of the protocol is passed on", "trailers and interim responses in order are no part of a body").

Where a status is read: - targets, the store, grants and releases, all on HttpLink: mended.

Why tests and soak had missed it: their stand-ins sent statuses of the protocol only; the one test of garbled bytes had no status line at all.

--- a/src/core/httpmessage.cpp
+++ b/src/core/httpmessage.cpp
@@ -18,6 +18,11 @@
     "Proxy-Authenticate", "TE",         "Trailer",
     "Transfer-Encoding",  "Upgrade",    "Content-Length"};
 
+constexpr int FirstInterimStatus = 100;
+constexpr int FirstFinalStatus = 200;
+constexpr int LastFinalStatus = 599;
+constexpr int SwitchingProtocols = 101;
+
 void appendFields(std::string &Text, const HttpFields &Fields) {
   for (const HttpField &Each : Fields.all())
     absl::StrAppend(&Text, Each.m_Name, ": ", Each.m_Value, "\r\n");
@@ -68,6 +73,14 @@
   return PathAndQuery.substr(0, PathAndQuery.find('?'));
 }
 
+ResponseKind responseKind(int Status) {
+  if (Status < FirstInterimStatus || Status > LastFinalStatus ||
+      Status == SwitchingProtocols)
+    return ResponseKind::Invalid;
+  return Status < FirstFinalStatus ? ResponseKind::Interim
+                                   : ResponseKind::Final;
+}
+
 std::string writeRequestHead(const HttpRequest &Request) {
   std::string Text =
       absl::StrCat(Request.m_Method, " ", Request.m_Target, " HTTP/1.1\r\n");
--- a/src/core/httpmessage.h
+++ b/src/core/httpmessage.h
@@ -57,6 +57,22 @@
   std::string_view path() const;
 };
 
+/// What a status code says about a response (RFC 9110, 15).
+enum class ResponseKind {
+  /// 1xx: another response to the same request follows.
+  Interim,
+  /// 200 to 599.
+  Final,
+  /// Not a status of the protocol; or 101, since no request of ours asks for
+  /// another protocol.
+  Invalid
+};
+
+ResponseKind responseKind(int Status);
+
+/// More interim responses than this to one request are no HTTP dialog.
+constexpr int MaxInterimResponses = 16;
+
 /// An HTTP response with its complete body.
 struct HttpResponse {
   int m_Status = 0;
--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -30,10 +30,6 @@
 constexpr size_t MaxUnparsedBytes = 2 * MaxResponseHeaderBytes;
 /// Bodies up to this size do not count in the common budget.
 constexpr size_t UncountedBodyBytes = 256 << 10;
-/// More interim responses than this to one request are no HTTP dialog.
-constexpr int MaxInterims = 16;
-/// Lowest status of a response that is not interim.
-constexpr unsigned FirstFinalStatus = 200;
 /// Idle timeout assumed for a peer that sends no Keep-Alive timeout.
 constexpr Milliseconds DefaultPeerIdleTimeout{900};
 /// An idle connection is no longer used in this interval before the peer's idle
@@ -316,13 +312,15 @@
     m_Buffer.consume(Consumed);
     if (Error == http::error::need_more && m_Buffer.size() < MaxUnparsedBytes)
       return true;
-    if (Error || !accountBody()) {
+    const bool IsInvalid =
+        m_Parser->is_header_done() && receivedKind() == ResponseKind::Invalid;
+    if (Error || IsInvalid || !accountBody()) {
       finish(LinkResult::Garbled, {});
       return false;
     }
     if (!m_Parser->is_done())
       continue;
-    if (m_Parser->get().result_int() < FirstFinalStatus)
+    if (receivedKind() == ResponseKind::Interim)
       interimComplete();
     else
       responseComplete();
@@ -332,11 +330,12 @@
   return true;
 }
 
+ResponseKind HttpLink::receivedKind() const {
+  return responseKind(static_cast<int>(m_Parser->get().result_int()));
+}
+
 void HttpLink::interimComplete() {
-  // Nothing was asked for that switches the protocol.
-  const bool IsExpected =
-      m_Parser->get().result() != http::status::switching_protocols;
-  if (!IsExpected || ++m_Interims > MaxInterims) {
+  if (++m_Interims > MaxInterimResponses) {
     finish(LinkResult::Garbled, {});
     return;
   }
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -48,6 +48,9 @@
 /// rest of the body, and would take the bytes of another request for it. A
 /// response belongs to the request whose id it repeats; see Options.
 ///
+/// A response whose status is none of the protocol ends the request as soon as
+/// its header is received, whatever follows.
+///
 /// The end of the connection completes a response without a length only if the
 /// peer ended its stream (FIN). The operating system reports a failed
 /// connection to one call, and later reads see an end like that of the stream.
@@ -156,6 +159,8 @@
   /// budget is exhausted.
   bool accountBody();
   void releaseBody();
+  /// By the status that was received last. The header must be complete.
+  ResponseKind receivedKind() const;
   /// Handles an interim response (1xx), which is not passed on.
   void interimComplete();
   void responseComplete();
--- a/tests/net/brokenresponsetest.cpp
+++ b/tests/net/brokenresponsetest.cpp
@@ -37,6 +37,43 @@
   return "HTTP/1.1 " + Status + "\r\nX-Id: 1\r\n" + Rest;
 }
 
+/// Sends a response in pieces of a size; the link receives each by itself.
+void sendInPieces(LinkBench &Bench, const std::string &Text, size_t Size) {
+  for (size_t Start = 0; Start < Text.size(); Start += Size) {
+    Bench.peer().send(Text.substr(Start, Size));
+    Bench.m_Loop.poll();
+    Bench.m_Loop.restart();
+  }
+}
+
+/// The result of a request that is answered with some bytes, whole and in
+/// pieces, on a new connection and on a reused one.
+void checkResult(const std::string &Bytes, LinkResult Expected) {
+  for (const bool IsReused : {false, true})
+    for (const size_t PieceSize : {Bytes.size(), size_t{7}, size_t{1}}) {
+      CAPTURE(Bytes);
+      CAPTURE(IsReused);
+      CAPTURE(PieceSize);
+      LinkBench Bench;
+      if (IsReused) {
+        Bench.send("0");
+        Bench.peer().send(answer("0", "earlier"));
+        REQUIRE(Bench.result() == LinkResult::Answered);
+      }
+      Bench.send("1");
+      sendInPieces(Bench, Bytes, PieceSize);
+      Bench.peer().endStream();
+      CHECK(Bench.result() == Expected);
+    }
+}
+
+/// The ways in which a body can follow the fields of a response.
+const std::string Framings[] = {"Content-Length: 2\r\n\r\nok",
+                                "Content-Length: 0\r\n\r\n",
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nok\r\n0\r\n\r\n",
+                                "\r\nok"};
+
 } // namespace
 
 TEST_SUITE("whole-answer") {
@@ -142,4 +179,41 @@
     CHECK(Bench.m_Result == LinkResult::Answered);
     CHECK(Link->isClosed());
   }
+
+  TEST_CASE("a status that is none of the protocol is no response") {
+    for (const char *Status : {"000 Trouble", "001 Trouble", "099 Trouble",
+                               "600 Trouble", "999 Trouble"})
+      for (const std::string &Framing : Framings)
+        checkResult(response(Status, Framing), LinkResult::Garbled);
+  }
+
+  TEST_CASE("a response does not follow one whose status is none of the "
+            "protocol") {
+    checkResult(response("000 Trouble", "Content-Length: 0\r\n\r\n") +
+                    answer("1", "next"),
+                LinkResult::Garbled);
+  }
+
+  TEST_CASE("each final status of the protocol is passed on") {
+    for (const char *Status : {"200 OK", "299 Fine", "302 Found", "404 Missing",
+                               "503 Busy", "599 Trouble"})
+      for (const std::string &Framing : Framings)
+        checkResult(response(Status, Framing), LinkResult::Answered);
+  }
+
+  TEST_CASE("a status line that does not have three digits is no response") {
+    for (const char *Status : {"20 OK", "2000 OK", "2x0 OK", "-20 OK", " 200"})
+      checkResult(response(Status, "Content-Length: 2\r\n\r\nok"),
+                  LinkResult::Garbled);
+  }
+
+  TEST_CASE("trailers and interim responses in order are no part of a body") {
+    checkResult(response("200 OK", "Transfer-Encoding: chunked\r\n\r\n"
+                                   "2\r\nok\r\n0\r\nX-End: 1\r\n\r\n"),
+                LinkResult::Answered);
+    checkResult("HTTP/1.1 100 Continue\r\n\r\n"
+                "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n" +
+                    response("200 OK", "\r\nok"),
+                LinkResult::Answered);
+  }
 }
--- a/tests/net/httpmessagetest.cpp
+++ b/tests/net/httpmessagetest.cpp
@@ -44,3 +44,12 @@
   Request.m_Target = "/a/b?c=/d";
   CHECK(Request.path() == "/a/b");
 }
+
+TEST_CASE("only the statuses of the protocol make a response") {
+  for (const int Status : {100, 102, 199})
+    CHECK(responseKind(Status) == ResponseKind::Interim);
+  for (const int Status : {200, 304, 599})
+    CHECK(responseKind(Status) == ResponseKind::Final);
+  for (const int Status : {-1, 0, 1, 99, 101, 600, 999})
+    CHECK(responseKind(Status) == ResponseKind::Invalid);
+}
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -107,6 +107,24 @@
   return "HTTP/1.1 200 OK\r\n\r\n" + Body;
 }
 
+std::string answer(const std::string &Status, const std::string &Line,
+                   const std::string &Body) {
+  return "HTTP/1.1 " + Status + "\r\n" + Line +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
+/// Checks that no call takes an answer with these first lines for a success.
+void checkNoCallSucceeds(const std::string &Status, const std::string &Line) {
+  CAPTURE(Status);
+  CAPTURE(Line);
+  using End = BrokenPeer::End;
+  CHECK(!BrokenPeer(answer(Status, Line, AppendBody), End::Stream)
+             .appends(ShortBodyBytes));
+  CHECK(!BrokenPeer(answer(Status, Line, PageBody), End::Stream).reads());
+  CHECK(!BrokenPeer(answer(Status, Line, ""), End::Stream).grants());
+  CHECK(!BrokenPeer(answer(Status, Line, ""), End::Stream).releases());
+}
+
 } // namespace
 
 TEST_SUITE("whole-answer") {
@@ -136,4 +154,19 @@
     CHECK(BrokenPeer(withoutLength("ok"), End::Stream).grants());
     CHECK(BrokenPeer(withoutLength("ok"), End::Stream).releases());
   }
+
+  TEST_CASE("an answer of the store or to a grant whose status is none of the "
+            "protocol is no success") {
+    for (const char *Status : {"000 Trouble", "099 Trouble", "600 Trouble",
+                               "20 OK", "2000 OK", "2x0 OK"})
+      checkNoCallSucceeds(Status, "");
+  }
+
+  TEST_CASE("an answer does not follow one whose status is none of the "
+            "protocol to a grant or a release") {
+    const std::string Bytes =
+        answer("000 Trouble", "", "") + answer("200 OK", "", "");
+    CHECK(!BrokenPeer(Bytes, BrokenPeer::End::Stream).grants());
+    CHECK(!BrokenPeer(Bytes, BrokenPeer::End::Stream).releases());
+  }
 }
