The former program takes no answer with a status that is none of the protocol

The former program passed a target's answer of status 000, 600 or 999 on to callers, with a body or without.

Cause: the HTTP library reads any three digits as a status, and nothing behind it asked which of them are statuses of the protocol.

Change: AnswerStream stands between the socket and the library in ClientConnection, through which all calls of the former program go: requests to targets, grants, the log, the list of hosts and calls between hosts. It passes the head of an answer on only once its status is one of responseKind(), which the gateway asks, too; from another head on the exchange fails like one whose answer was lost. Ruled out: asking for the status behind the library, since a long answer is passed on to the caller while it is still read.

Evidence: httptest "an answer whose status is none of the protocol is no answer" failed on the code before, with a length, empty and in chunks; it passes now. Holding already: lines without three digits (same case); statuses from 200 to 599 stay answers ("each final status of the protocol is passed on by the former program").

Why tests had missed it: the stand-ins of the former program use the same library to answer, and it writes statuses of the protocol only.

--- a/src/core/httpmessage.cpp
+++ b/src/core/httpmessage.cpp
@@ -2,6 +2,7 @@
 
 #include "core/text.h"
 
+#include "absl/strings/ascii.h"
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_split.h"
 #include "absl/strings/strip.h"
@@ -22,6 +23,10 @@
 constexpr int FirstFinalStatus = 200;
 constexpr int LastFinalStatus = 599;
 constexpr int SwitchingProtocols = 101;
+/// What a status line begins with; the digit of the minor version, a space, the
+/// three digits of the status and a space or the end of the line follow.
+constexpr std::string_view StatusLineStart = "HTTP/1.";
+constexpr size_t StatusDigits = 3;
 
 void appendFields(std::string &Text, const HttpFields &Fields) {
   for (const HttpField &Each : Fields.all())
@@ -81,6 +86,26 @@
                                    : ResponseKind::Final;
 }
 
+std::optional<int> statusOfHead(std::string_view Head) {
+  const std::string_view Line = Head.substr(0, Head.find("\r\n"));
+  const size_t StatusStart = StatusLineStart.size() + 2;
+  const size_t StatusEnd = StatusStart + StatusDigits;
+  if (Line.substr(0, StatusLineStart.size()) != StatusLineStart ||
+      Line.size() < StatusEnd ||
+      !absl::ascii_isdigit(
+          static_cast<unsigned char>(Line[StatusLineStart.size()])) ||
+      Line[StatusStart - 1] != ' ' ||
+      (Line.size() > StatusEnd && Line[StatusEnd] != ' '))
+    return std::nullopt;
+  int Status = 0;
+  for (const char Digit : Line.substr(StatusStart, StatusDigits)) {
+    if (!absl::ascii_isdigit(static_cast<unsigned char>(Digit)))
+      return std::nullopt;
+    Status = Status * 10 + (Digit - '0');
+  }
+  return Status;
+}
+
 std::string writeRequestHead(const HttpRequest &Request) {
   std::string Text =
       absl::StrCat(Request.m_Method, " ", Request.m_Target, " HTTP/1.1\r\n");
--- a/src/core/httpmessage.h
+++ b/src/core/httpmessage.h
@@ -1,6 +1,7 @@
 #ifndef MONSOON_CORE_HTTPMESSAGE_H
 #define MONSOON_CORE_HTTPMESSAGE_H
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tuple>
@@ -70,6 +71,10 @@
 
 ResponseKind responseKind(int Status);
 
+/// The status in the first line of a response's head. Empty if that is no
+/// status line of HTTP/1 (RFC 9112, 4).
+std::optional<int> statusOfHead(std::string_view Head);
+
 /// More interim responses than this to one request are no HTTP dialog.
 constexpr int MaxInterimResponses = 16;
 
--- a/src/http/clientconnection.cpp
+++ b/src/http/clientconnection.cpp
@@ -1,5 +1,7 @@
 #include "http/clientconnection.h"
 
+#include "http/answerstream.h"
+
 #include <utility>
 
 namespace monsoon {
@@ -39,7 +41,8 @@
   Stream.setDeadline(m_Limits->m_Deadline);
   Stream.watch(m_Limits->m_WatchedSocket);
   Stream.cancelOn(m_Limits->m_CancelDescriptor);
-  const bool Ok = Run(Stream);
+  AnswerStream Answer(Stream);
+  const bool Ok = Run(Answer);
   m_End.m_MaybeSent = Stream.bytesSent() > 0;
   m_End.m_TimedOut = Stream.timedOut();
   m_End.m_WatchedHungUp = Stream.watchedHungUp();
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -31,10 +31,32 @@
       Order, []() { return true; }, nullptr);
 }
 
+AttemptResult sendFor(const std::string &Bytes,
+                      BrokenTarget::End End = BrokenTarget::End::Close) {
+  CAPTURE(Bytes);
+  BrokenTarget Server({Bytes, End});
+  return sendTo(Server);
+}
+
 std::string answer(const std::string &Status, const std::string &Rest) {
   return "HTTP/1.1 " + Status + "\r\nX-Correlation-Id: c\r\n" + Rest;
 }
 
+const std::string Framings[] = {"Content-Length: 2\r\n\r\nok",
+                                "Content-Length: 0\r\n\r\n",
+                                "Transfer-Encoding: chunked\r\n\r\n"
+                                "2\r\nok\r\n0\r\n\r\n",
+                                "\r\nok"};
+
+/// An answer to every call of the former program, with the fields that its
+/// callers look for.
+std::string jsonAnswer(const std::string &Status, const std::string &Line) {
+  const std::string Body =
+      R"({"offset": 7, "held": true, "fence": 1, "accepted": true})";
+  return "HTTP/1.1 " + Status + "\r\n" + Line +
+         "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+}
+
 Outcome<LogOffset> appendFor(const std::string &Bytes, BrokenTarget::End End,
                              size_t DataBytes = 1) {
   CAPTURE(Bytes);
@@ -74,4 +96,26 @@
                     BrokenTarget::End::Close)
               .has_value());
   }
+
+  TEST_CASE("an answer whose status is none of the protocol is no answer") {
+    for (const char *Status :
+         {"000 Trouble", "001 Trouble", "099 Trouble", "600 Trouble",
+          "999 Trouble", "20 OK", "2000 OK", "2x0 OK"}) {
+      for (const std::string &Framing : Framings)
+        CHECK(!sendFor(answer(Status, Framing)).isAnswered());
+      CHECK(!sendFor(answer(Status, "Content-Length: 0\r\n\r\n") +
+                     answer("200 OK", "Content-Length: 2\r\n\r\nok"))
+                 .isAnswered());
+      CHECK(!appendFor(jsonAnswer(Status, ""), BrokenTarget::End::Close)
+                 .has_value());
+    }
+  }
+
+  TEST_CASE("each final status of the protocol is passed on by the former "
+            "program") {
+    for (const char *Status : {"200 OK", "299 Fine", "302 Found", "404 Missing",
+                               "503 Busy", "599 Trouble"})
+      CHECK(
+          sendFor(answer(Status, "Content-Length: 2\r\n\r\nok")).isAnswered());
+  }
 }
--- a/tests/net/httpmessagetest.cpp
+++ b/tests/net/httpmessagetest.cpp
@@ -53,3 +53,14 @@
   for (const int Status : {-1, 0, 1, 99, 101, 600, 999})
     CHECK(responseKind(Status) == ResponseKind::Invalid);
 }
+
+TEST_CASE("a status is read from a status line of HTTP/1 only") {
+  CHECK(statusOfHead("HTTP/1.1 200 OK\r\nA: 1\r\n\r\n") == 200);
+  CHECK(statusOfHead("HTTP/1.0 404\r\n\r\n") == 404);
+  CHECK(statusOfHead("HTTP/1.1 000 \r\n\r\n") == 0);
+  for (const char *Head :
+       {"", "\r\n", "HTTP/1.1\r\n", "HTTP/1.1 20\r\n", "HTTP/1.1 2000 OK\r\n",
+        "HTTP/1.1 2x0 OK\r\n", "HTTP/1.1  200 OK\r\n", "HTTP/2.0 200 OK\r\n",
+        "HTTP/1.x 200 OK\r\n", "HTTP/1.1 -20 OK\r\n"})
+    CHECK(!statusOfHead(Head).has_value());
+}
