The former program takes no answer with a malformed field

The former program passed on a target's answer in whose head the name of a field held a blank or a control byte, with that line, and counted such answers of the log as successes. A "Transfer-Encoding : chunked" beside a length made the caller's body one that was not the target's.

Cause: the HTTP library takes whatever stands before a colon for a name, and skips a line without one. AnswerStream checked the status line only.

Change: hasValidFields() in core says whether each line of a head is a field with a token for its name, without control bytes; a bare LF would hide a line from the check and show it to the library. AnswerStream passes on only heads for which it holds, interim ones included. Ruled out: dropping such lines, since one of them may frame the body.

Why tests had missed it: the stand-ins of the former program wrote their answers with the same library, which writes no such names.

--- a/src/core/httpmessage.cpp
+++ b/src/core/httpmessage.cpp
@@ -9,6 +9,7 @@
 
 #include <algorithm>
 #include <array>
+#include <utility>
 
 namespace monsoon {
 
@@ -28,6 +29,26 @@
 constexpr std::string_view StatusLineStart = "HTTP/1.";
 constexpr size_t StatusDigits = 3;
 
+/// What a token may hold beside letters and digits (RFC 9110, 5.6.2).
+constexpr std::string_view TokenMarks = "!#$%&'*+-.^_`|~";
+
+bool isTokenByte(char Byte) {
+  return absl::ascii_isalnum(static_cast<unsigned char>(Byte)) ||
+         TokenMarks.find(Byte) != std::string_view::npos;
+}
+
+bool isForbiddenInLine(char Byte) {
+  return Byte != '\t' && absl::ascii_iscntrl(static_cast<unsigned char>(Byte));
+}
+
+bool isFieldLine(std::string_view Line) {
+  const size_t NameEnd = Line.find(':');
+  if (NameEnd == 0 || NameEnd == std::string_view::npos)
+    return false;
+  const std::string_view Name = Line.substr(0, NameEnd);
+  return std::all_of(Name.begin(), Name.end(), isTokenByte);
+}
+
 void appendFields(std::string &Text, const HttpFields &Fields) {
   for (const HttpField &Each : Fields.all())
     absl::StrAppend(&Text, Each.m_Name, ": ", Each.m_Value, "\r\n");
@@ -106,6 +127,19 @@
   return Status;
 }
 
+bool hasValidFields(std::string_view Head) {
+  bool IsFirst = true;
+  for (absl::string_view Part :
+       absl::StrSplit(absl::StripSuffix(toAbsl(Head), "\r\n\r\n"), "\r\n")) {
+    const std::string_view Line = toStd(Part);
+    if (std::any_of(Line.begin(), Line.end(), isForbiddenInLine))
+      return false;
+    if (!std::exchange(IsFirst, false) && !isFieldLine(Line))
+      return false;
+  }
+  return true;
+}
+
 std::string writeRequestHead(const HttpRequest &Request) {
   std::string Text =
       absl::StrCat(Request.m_Method, " ", Request.m_Target, " HTTP/1.1\r\n");
--- a/src/core/httpmessage.h
+++ b/src/core/httpmessage.h
@@ -75,6 +75,11 @@
 /// status line of HTTP/1 (RFC 9112, 4).
 std::optional<int> statusOfHead(std::string_view Head);
 
+/// True if each line after the first one of a message's head is a field whose
+/// name is a token and no line has a control byte but tabs in its value
+/// (RFC 9110, 5.1 and 5.5). Lines that are folded are not accepted.
+bool hasValidFields(std::string_view Head);
+
 /// More interim responses than this to one request are no HTTP dialog.
 constexpr int MaxInterimResponses = 16;
 
--- a/src/http/answerstream.cpp
+++ b/src/http/answerstream.cpp
@@ -40,8 +40,9 @@
     return;
   }
   const auto Status = statusOfHead(m_Head);
-  const ResponseKind Kind =
-      Status ? responseKind(*Status) : ResponseKind::Invalid;
+  const ResponseKind Kind = Status && hasValidFields(m_Head)
+                                ? responseKind(*Status)
+                                : ResponseKind::Invalid;
   m_IsInterim = Kind == ResponseKind::Interim;
   m_State = Kind == ResponseKind::Invalid ? State::Failed : State::InHead;
 }
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -48,6 +48,24 @@
                                 "2\r\nok\r\n0\r\n\r\n",
                                 "\r\nok"};
 
+const std::string BrokenNames[] = {"X Field: 1",
+                                   "X-Field : 1",
+                                   "Content-Length : 1",
+                                   "Transfer-Encoding : chunked",
+                                   "Content Length: 1",
+                                   "X\tField: 1",
+                                   "X-Field\t: 1",
+                                   "X\x01"
+                                   "Field: 1",
+                                   std::string("X\0Field: 1", 10),
+                                   "X\x7f"
+                                   "Field: 1",
+                                   "X\xe9"
+                                   "Field: 1",
+                                   ": 1",
+                                   " X-Field: 1",
+                                   "X-Field"};
+
 /// An answer to every call of the former program, with the fields that its
 /// callers look for.
 std::string jsonAnswer(const std::string &Status, const std::string &Line) {
@@ -118,4 +136,37 @@
       CHECK(
           sendFor(answer(Status, "Content-Length: 2\r\n\r\nok")).isAnswered());
   }
+
+  TEST_CASE("an answer with a blank or control byte in the name of a field is "
+            "no answer") {
+    for (const std::string &Line : BrokenNames) {
+      for (const std::string &Framing : Framings)
+        CHECK(!sendFor(answer("200 OK", Line + "\r\n" + Framing)).isAnswered());
+      CHECK(!sendFor("HTTP/1.1 200 OK\r\n" + Line +
+                     "\r\nContent-Length: 0\r\n\r\n")
+                 .isAnswered());
+      CHECK(!appendFor(jsonAnswer("200 OK", Line + "\r\n"),
+                       BrokenTarget::End::Close)
+                 .has_value());
+    }
+  }
+
+  TEST_CASE("a trailer with a blank or control byte in the name of a field is "
+            "no answer") {
+    for (const std::string &Line : BrokenNames)
+      CHECK(!sendFor(answer("200 OK", "Transfer-Encoding: chunked\r\n\r\n"
+                                      "2\r\nok\r\n0\r\n" +
+                                          Line + "\r\n\r\n"))
+                 .isAnswered());
+  }
+
+  TEST_CASE("an interim answer with a blank or control byte in the name of a "
+            "field is no answer") {
+    for (const std::string &Line : BrokenNames)
+      for (const char *Status : {"100 Continue", "103 Early Hints"})
+        CHECK(!sendFor(std::string("HTTP/1.1 ") + Status + "\r\n" + Line +
+                       "\r\n\r\n" +
+                       answer("200 OK", "Content-Length: 2\r\n\r\nok"))
+                   .isAnswered());
+  }
 }
--- a/tests/net/brokenresponsetest.cpp
+++ b/tests/net/brokenresponsetest.cpp
@@ -207,6 +207,48 @@
                   LinkResult::Garbled);
   }
 
+  TEST_CASE("a blank or control byte in the name of a field is no response") {
+    const std::string Lines[] = {"X Field: 1",
+                                 "X-Field : 1",
+                                 "Content-Length : 1",
+                                 "Transfer-Encoding : chunked",
+                                 "Content Length: 1",
+                                 "X\tField: 1",
+                                 "X-Field\t: 1",
+                                 "X\x01"
+                                 "Field: 1",
+                                 std::string("X\0Field: 1", 10),
+                                 "X\x7f"
+                                 "Field: 1",
+                                 "X\xe9"
+                                 "Field: 1",
+                                 ": 1",
+                                 "X-Field"};
+    for (const std::string &Line : Lines) {
+      for (const std::string &Framing : Framings)
+        checkResult(response("200 OK", Line + "\r\n" + Framing),
+                    LinkResult::Garbled);
+      // In the first line, in a trailer and in an interim response.
+      checkResult("HTTP/1.1 200 OK\r\n" + Line +
+                      "\r\nContent-Length: 0\r\n\r\n",
+                  LinkResult::Garbled);
+      checkResult(response("200 OK", "Transfer-Encoding: chunked\r\n\r\n"
+                                     "2\r\nok\r\n0\r\n" +
+                                         Line + "\r\n\r\n"),
+                  LinkResult::Garbled);
+      checkResult("HTTP/1.1 103 Early Hints\r\n" + Line + "\r\n\r\n" +
+                      answer("1", "ok"),
+                  LinkResult::Garbled);
+    }
+  }
+
+  TEST_CASE("a blank before the first field is no response") {
+    for (const char *Line : {" X-Field: 1", "\tX-Field: 1"})
+      checkResult(std::string("HTTP/1.1 200 OK\r\n") + Line +
+                      "\r\nContent-Length: 0\r\n\r\n",
+                  LinkResult::Garbled);
+  }
+
   TEST_CASE("trailers and interim responses in order are no part of a body") {
     checkResult(response("200 OK", "Transfer-Encoding: chunked\r\n\r\n"
                                    "2\r\nok\r\n0\r\nX-End: 1\r\n\r\n"),
--- a/tests/net/httpmessagetest.cpp
+++ b/tests/net/httpmessagetest.cpp
@@ -64,3 +64,21 @@
         "HTTP/1.x 200 OK\r\n", "HTTP/1.1 -20 OK\r\n"})
     CHECK(!statusOfHead(Head).has_value());
 }
+
+TEST_CASE("a head is valid if each field has a token for its name") {
+  const std::string Start = "HTTP/1.1 200 OK\r\n";
+  CHECK(hasValidFields(Start + "\r\n"));
+  CHECK(hasValidFields(Start + "A-1!: \tb \xe9\r\nC:\r\n\r\n"));
+  for (const std::string &Lines :
+       {std::string("A b: 1"), std::string("A : 1"), std::string("A\t: 1"),
+        std::string("A\0: 1", 5), std::string("A\x7f: 1"),
+        std::string("A\xe9: 1"), std::string(": 1"), std::string("A"),
+        std::string(" A: 1"), std::string("A: 1\r\n b"),
+        std::string("A: 1\nB c: 2"), std::string("A: 1\rB"),
+        std::string("A: \x01")}) {
+    CAPTURE(Lines);
+    CHECK(!hasValidFields(Start + Lines + "\r\n\r\n"));
+    CHECK(!hasValidFields(Start + "D: 1\r\n" + Lines + "\r\nE: 1\r\n\r\n"));
+  }
+  CHECK(!hasValidFields("HTTP/1.1 200 O\nK: 1\r\n\r\n"));
+}
