The former program passes over interim answers

A caller of the former program got 502 when the target sent an interim answer, such as 100 with fields or 103, before its answer.

Cause: the HTTP library passes over 100 without fields only and takes what follows any other interim answer for its body.

Change: AnswerStream, which sees each head, passes on that of the final answer and drops interim ones; more than MaxInterimResponses, the gateway's limit, fail the exchange.

Evidence: httptest "the former program passes over interim answers" failed on the code before at its first status, 100 with a field, and "interim answers without end are no answer" at the most that are allowed (103); both pass now.

Why tests had missed it: no stand-in of the former program sent one.

--- a/src/http/answerstream.cpp
+++ b/src/http/answerstream.cpp
@@ -21,7 +21,7 @@
 
 ssize_t AnswerStream::read(char *Data, size_t Size) {
   if (m_State == State::BeforeHead)
-    readHead();
+    m_State = readFinalHead() ? State::InHead : State::Failed;
   if (m_State == State::Failed)
     return -1;
   if (m_State == State::InBody)
@@ -30,26 +30,25 @@
   std::memcpy(Data, m_Head.data() + m_Passed, Taken);
   m_Passed += Taken;
   if (m_Passed == m_Head.size())
-    m_State = m_IsInterim ? State::BeforeHead : State::InBody;
+    m_State = State::InBody;
   return static_cast<ssize_t>(Taken);
 }
 
-void AnswerStream::readHead() {
-  if (!collectHead()) {
-    m_State = State::Failed;
-    return;
+bool AnswerStream::readFinalHead() {
+  for (int Interims = 0; Interims <= MaxInterimResponses; ++Interims) {
+    if (!collectHead() || !hasValidFields(m_Head))
+      return false;
+    const auto Status = statusOfHead(m_Head);
+    const ResponseKind Kind =
+        Status ? responseKind(*Status) : ResponseKind::Invalid;
+    if (Kind != ResponseKind::Interim)
+      return Kind == ResponseKind::Final;
   }
-  const auto Status = statusOfHead(m_Head);
-  const ResponseKind Kind = Status && hasValidFields(m_Head)
-                                ? responseKind(*Status)
-                                : ResponseKind::Invalid;
-  m_IsInterim = Kind == ResponseKind::Interim;
-  m_State = Kind == ResponseKind::Invalid ? State::Failed : State::InHead;
+  return false;
 }
 
 bool AnswerStream::collectHead() {
   m_Head.clear();
-  m_Passed = 0;
   while (!endsWith(m_Head, HeadEnd)) {
     char Byte = 0;
     if (m_Head.size() >= MaxHeadBytes || m_Socket.read(&Byte, 1) != 1)
--- a/src/http/answerstream.h
+++ b/src/http/answerstream.h
@@ -10,9 +10,9 @@
 namespace monsoon {
 
 /// The stream of one exchange with a server. The library accepts heads that are
-/// none of the protocol, so it gets the head of an answer only once the head
-/// has been checked; reads fail from a head on that is not in order. Not safe
-/// for concurrent use.
+/// none of the protocol, and passes over few interim answers, so it gets only
+/// the head of the final answer, once each head has been checked. Reads fail
+/// from a head on that is not in order. Not safe for concurrent use.
 class AnswerStream : public httplib::Stream {
 public:
   explicit AnswerStream(SocketStream &Socket) : m_Socket(Socket) {}
@@ -28,8 +28,8 @@
 private:
   enum class State { BeforeHead, InHead, InBody, Failed };
 
-  /// Reads and checks the next head, and sets the state.
-  void readHead();
+  /// Reads up to the head of the final answer. False if that fails.
+  bool readFinalHead();
   /// Reads up to the empty line that ends a head. False if the stream ends or
   /// the head is too long.
   bool collectHead();
@@ -39,8 +39,6 @@
   std::string m_Head;
   /// Bytes of the head that were passed on.
   size_t m_Passed = 0;
-  /// True when the head is that of an interim answer.
-  bool m_IsInterim = false;
 };
 
 } // namespace monsoon
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -1,3 +1,4 @@
+#include "core/httpmessage.h"
 #include "http/brokentarget.h"
 #include "http/httplog.h"
 #include "http/targetclient.h"
@@ -169,4 +170,25 @@
                        answer("200 OK", "Content-Length: 2\r\n\r\nok"))
                    .isAnswered());
   }
+
+  TEST_CASE("the former program passes over interim answers") {
+    for (const char *Status : {"100 Continue", "103 Early Hints"}) {
+      const auto Result =
+          sendFor(std::string("HTTP/1.1 ") + Status + "\r\nLink: a\r\n\r\n" +
+                  answer("200 OK", "Content-Length: 2\r\n\r\nok"));
+      REQUIRE(Result.isAnswered());
+      CHECK(Result.m_Answer->m_Status == 200);
+      CHECK(Result.m_Answer->m_Body == "ok");
+    }
+  }
+
+  TEST_CASE("interim answers without end are no answer") {
+    const std::string Interim = "HTTP/1.1 103 Early Hints\r\n\r\n";
+    const std::string Final = answer("200 OK", "Content-Length: 2\r\n\r\nok");
+    std::string Most;
+    for (int Count = 0; Count < MaxInterimResponses; ++Count)
+      Most += Interim;
+    CHECK(sendFor(Most + Final).isAnswered());
+    CHECK(!sendFor(Most + Interim + Final).isAnswered());
+  }
 }
