A status that is none of the protocol ends the request with its header

A target's answer in chunks whose status is none of the protocol, and whose first chunk stops in its size, held the request until the target sent more or the time limit passed. Callers saw no wrong answer, but a late 502.

Cause: HttpLink::parse() waits for more bytes when the parser asks for them, and looked at the status only after that.

Change: the status is looked at first, as the class says.

Evidence: nettest "a status that is none of the protocol ends the request when the header is complete" failed on the code before in chunks, and passes now.

--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -310,11 +310,12 @@
     error_code Error;
     const size_t Consumed = m_Parser->put(m_Buffer.data(), Error);
     m_Buffer.consume(Consumed);
-    if (Error == http::error::need_more && m_Buffer.size() < MaxUnparsedBytes)
-      return true;
     const bool IsInvalid =
         m_Parser->is_header_done() && receivedKind() == ResponseKind::Invalid;
-    if (Error || IsInvalid || !accountBody()) {
+    if (!IsInvalid && Error == http::error::need_more &&
+        m_Buffer.size() < MaxUnparsedBytes)
+      return true;
+    if (IsInvalid || Error || !accountBody()) {
       finish(LinkResult::Garbled, {});
       return false;
     }
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -136,7 +136,8 @@
     std::shared_ptr<const std::string> m_Body;
 
     size_t size() const;
-    /// The bytes after the first Start ones; at most one system call's worth.
+    /// What to write next once the first Start bytes are written; a limited
+    /// part of the rest.
     std::array<boost::asio::const_buffer, 2> part(size_t Start) const;
   };
 
--- a/tests/net/brokenresponsetest.cpp
+++ b/tests/net/brokenresponsetest.cpp
@@ -195,6 +195,18 @@
                 LinkResult::Garbled);
   }
 
+  TEST_CASE("a status that is none of the protocol ends the request when the "
+            "header is complete") {
+    for (const char *Rest : {"\r\n", "Content-Length: 2\r\n\r\n",
+                             "Transfer-Encoding: chunked\r\n\r\n2"}) {
+      CAPTURE(Rest);
+      LinkBench Bench;
+      Bench.send("1");
+      Bench.peer().send(response("000 Trouble", Rest));
+      CHECK(Bench.result() == LinkResult::Garbled);
+    }
+  }
+
   TEST_CASE("each final status of the protocol is passed on") {
     for (const char *Status : {"200 OK", "299 Fine", "302 Found", "404 Missing",
                                "503 Busy", "599 Trouble"})
