Comments and test names say "invalid status"

Read as a newcomer: the field's term, in place of "none of the protocol", and what the classes do, in place of how they came to do it.

--- a/src/core/httpmessage.h
+++ b/src/core/httpmessage.h
@@ -62,22 +62,21 @@
 enum class ResponseKind {
   /// 1xx: another response to the same request follows.
   Interim,
-  /// 200 to 599.
+  /// 200 to 599: the response to the request.
   Final,
-  /// Not a status of the protocol; or 101, since no request of ours asks for
-  /// another protocol.
+  /// Outside 100 to 599; or 101, since no request asks for another protocol.
   Invalid
 };
 
 ResponseKind responseKind(int Status);
 
-/// The status in the first line of a response's head. Empty if that is no
-/// status line of HTTP/1 (RFC 9112, 4).
+/// The status in the first line of a response's head, valid or not. Empty if
+/// the line is no status line of HTTP/1 (RFC 9112, 4).
 std::optional<int> statusOfHead(std::string_view Head);
 
-/// True if each line after the first one of a message's head is a field whose
-/// name is a token and no line has a control byte but tabs in its value
-/// (RFC 9110, 5.1 and 5.5). Lines that are folded are not accepted.
+/// True if no line of a message's head has a control byte except tabs, and each
+/// line after the first is a field whose name is a token (RFC 9110, 5.1 and
+/// 5.5). Folded lines are invalid.
 bool hasValidFields(std::string_view Head);
 
 /// More interim responses than this to one request are no HTTP dialog.
--- a/src/http/answerstream.h
+++ b/src/http/answerstream.h
@@ -9,10 +9,10 @@
 
 namespace monsoon {
 
-/// The stream of one exchange with a server. The library accepts heads that are
-/// none of the protocol, and passes over few interim answers, so it gets only
-/// the head of the final answer, once each head has been checked. Reads fail
-/// from a head on that is not in order. Not safe for concurrent use.
+/// The stream of one exchange with a server. The HTTP library accepts invalid
+/// heads and skips only some interim answers. So each head is checked first,
+/// and the library reads only that of the final answer and what follows it.
+/// After an invalid head all reads fail. Not safe for concurrent use.
 class AnswerStream : public httplib::Stream {
 public:
   explicit AnswerStream(SocketStream &Socket) : m_Socket(Socket) {}
@@ -28,7 +28,8 @@
 private:
   enum class State { BeforeHead, InHead, InBody, Failed };
 
-  /// Reads up to the head of the final answer. False if that fails.
+  /// Skips interim answers and reads the head of the final one. False if a head
+  /// is invalid or can't be read.
   bool readFinalHead();
   /// Reads up to the empty line that ends a head. False if the stream ends or
   /// the head is too long.
@@ -37,7 +38,7 @@
   SocketStream &m_Socket;
   State m_State = State::BeforeHead;
   std::string m_Head;
-  /// Bytes of the head that were passed on.
+  /// Bytes of the head that the library has read.
   size_t m_Passed = 0;
 };
 
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -48,14 +48,14 @@
 /// rest of the body, and would take the bytes of another request for it. A
 /// response belongs to the request whose id it repeats; see Options.
 ///
-/// A response whose status is none of the protocol ends the request as soon as
-/// its header is received, whatever follows.
+/// A response with an invalid status ends the request as soon as its header is
+/// received.
 ///
 /// The end of the connection completes a response without a length only if the
-/// peer ended its stream (FIN). The operating system reports a failed
-/// connection to one call, and later reads see an end like that of the stream.
-/// So the link makes each write itself, instead of leaving it to the event
-/// loop, and notes a failure before the next read.
+/// peer ended its stream (FIN). The operating system reports the failure of a
+/// connection to one call only; if that is a write, the next read returns an
+/// end of stream. So the link writes synchronously, without blocking, and notes
+/// a failure before the next read.
 class HttpLink : public std::enable_shared_from_this<HttpLink> {
 public:
   /// Called once per request, unless close() is called first.
@@ -144,7 +144,7 @@
   void connect();
   void connected(const boost::system::error_code &Error);
   void write();
-  /// Writes what the socket takes at once, and continues from the event loop.
+  /// Writes without blocking; the event loop continues what is left.
   void writePart();
   void continueWrite();
   void writeFailed(const boost::system::error_code &Error);
@@ -160,7 +160,8 @@
   /// budget is exhausted.
   bool accountBody();
   void releaseBody();
-  /// By the status that was received last. The header must be complete.
+  /// The kind of the response that is being received, whose header must be
+  /// complete.
   ResponseKind receivedKind() const;
   /// Handles an interim response (1xx), which is not passed on.
   void interimComplete();
@@ -187,8 +188,8 @@
   bool m_IsWriting = false;
   /// Bytes of the request that the socket has taken.
   size_t m_WrittenBytes = 0;
-  /// True when a write has failed before the peer ended its stream. What reads
-  /// as the end of the stream is that failure.
+  /// True when a write has reported that the connection failed before the peer
+  /// ended its stream. An end of stream that is read then is that failure.
   bool m_HasFailed = false;
   std::string m_RequestId;
   bool m_ExpectsBody = true;
--- a/tests/http/brokenanswertest.cpp
+++ b/tests/http/brokenanswertest.cpp
@@ -95,7 +95,7 @@
               .has_value());
   }
 
-  TEST_CASE("an answer whose status is none of the protocol is no answer") {
+  TEST_CASE("an answer with an invalid status is no answer") {
     for (const char *Status :
          {"000 Trouble", "001 Trouble", "099 Trouble", "600 Trouble",
           "999 Trouble", "20 OK", "2000 OK", "2x0 OK"}) {
@@ -109,8 +109,7 @@
     }
   }
 
-  TEST_CASE("each final status of the protocol is passed on by the former "
-            "program") {
+  TEST_CASE("the former program passes on each valid final status") {
     for (const char *Status : {"200 OK", "299 Fine", "302 Found", "404 Missing",
                                "503 Busy", "599 Trouble"})
       CHECK(
--- a/tests/net/brokenresponsetest.cpp
+++ b/tests/net/brokenresponsetest.cpp
@@ -181,22 +181,21 @@
     CHECK(Link->isClosed());
   }
 
-  TEST_CASE("a status that is none of the protocol is no response") {
+  TEST_CASE("an invalid status is no response") {
     for (const char *Status : {"000 Trouble", "001 Trouble", "099 Trouble",
                                "600 Trouble", "999 Trouble"})
       for (const std::string &Framing : Framings)
         checkResult(response(Status, Framing), LinkResult::Garbled);
   }
 
-  TEST_CASE("a response does not follow one whose status is none of the "
-            "protocol") {
+  TEST_CASE(
+      "the bytes after a response with an invalid status are no response") {
     checkResult(response("000 Trouble", "Content-Length: 0\r\n\r\n") +
                     answer("1", "next"),
                 LinkResult::Garbled);
   }
 
-  TEST_CASE("a status that is none of the protocol ends the request when the "
-            "header is complete") {
+  TEST_CASE("an invalid status ends the request when the header is complete") {
     for (const char *Rest : {"\r\n", "Content-Length: 2\r\n\r\n",
                              "Transfer-Encoding: chunked\r\n\r\n2"}) {
       CAPTURE(Rest);
@@ -207,7 +206,7 @@
     }
   }
 
-  TEST_CASE("each final status of the protocol is passed on") {
+  TEST_CASE("each valid final status is passed on") {
     for (const char *Status : {"200 OK", "299 Fine", "302 Found", "404 Missing",
                                "503 Busy", "599 Trouble"})
       for (const std::string &Framing : Framings)
--- a/tests/platform/brokenanswertest.cpp
+++ b/tests/platform/brokenanswertest.cpp
@@ -156,8 +156,8 @@
     CHECK(BrokenPeer(withoutLength("ok"), End::Stream).releases());
   }
 
-  TEST_CASE("an answer of the store or to a grant whose status is none of the "
-            "protocol is no success") {
+  TEST_CASE("an answer of the store or to a grant with an invalid status is no "
+            "success") {
     for (const char *Status : {"000 Trouble", "099 Trouble", "600 Trouble",
                                "20 OK", "2000 OK", "2x0 OK"})
       checkNoCallSucceeds(Status, "");
@@ -169,8 +169,9 @@
       checkNoCallSucceeds("200 OK", Line + "\r\n");
   }
 
-  TEST_CASE("an answer does not follow one whose status is none of the "
-            "protocol to a grant or a release") {
+  TEST_CASE(
+      "the bytes after an answer with an invalid status are no answer to a "
+      "grant or a release") {
     const std::string Bytes =
         answer("000 Trouble", "", "") + answer("200 OK", "", "");
     CHECK(!BrokenPeer(Bytes, BrokenPeer::End::Stream).grants());
