review: a case ends with its script, and answers repeat the id

A script that was interrupted left its case and hosts running. The case is bound to the script and each host to the case now; tried with INT, TERM, HUP and KILL, none left.

--- a/review/standin-3/run.sh
+++ b/review/standin-3/run.sh
@@ -1,9 +1,9 @@
 # Runs the case of the folder that is named, in a temporary folder:
-#   . review/standin-3/run.sh FOLDER [ARGUMENT ...]
-# Ends whatever the case started and left running, by its process id.
+#   . review/standin-3/run.sh FOLDER
+# The case ends with this script and the entry hosts with the case, also if they
+# are interrupted or killed.
 set -u
 folder=$1
-shift
 cd "$(dirname "${BASH_SOURCE[0]}")/../.."
 number=$(basename "$folder")
 program=target/review-3/case-$number
@@ -12,19 +12,19 @@
   exit 2
 fi
 work=$(mktemp -d)
+case_pid=
 finish() {
-  if [ -f "$work/pids" ]; then
-    while read -r pid; do
-      if grep -q "$work" "/proc/$pid/cmdline" 2>/dev/null; then
-        kill -9 "$pid"
-      fi
-    done <"$work/pids"
-  fi
+  [ -z "$case_pid" ] || kill -9 "$case_pid" 2>/dev/null
+  wait
   rm -rf "$work"
 }
 trap finish EXIT
-timeout -k 2 115 "$program" "$work" "${TROUBLE:-1}" "review/$number/record.txt" "$@"
+trap 'exit 2' INT TERM HUP QUIT
+SCRIPT_PID=$$ "$program" "$work" "${TROUBLE:-1}" "review/$number/record.txt" &
+case_pid=$!
+wait "$case_pid"
 code=$?
+case_pid=
 tail -n 2 "review/$number/record.txt"
 [ "$code" -le 1 ] || code=2
 exit "$code"
--- a/review/standin-3/world.cpp
+++ b/review/standin-3/world.cpp
@@ -6,7 +6,7 @@
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <signal.h>
-#include <spawn.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -19,8 +19,6 @@
 #include <fstream>
 #include <sstream>
 
-extern char **environ;
-
 namespace world {
 
 namespace {
@@ -143,6 +141,14 @@
 
 } // namespace
 
+void bindToScript() {
+  prctl(PR_SET_PDEATHSIG, SIGKILL);
+  const char *Script = std::getenv("SCRIPT_PID");
+  if (Script && std::atoi(Script) != getppid())
+    std::_Exit(2);
+  alarm(118);
+}
+
 double now() {
   return std::chrono::duration<double>(Clock::now() - Start).count();
 }
@@ -686,7 +692,13 @@
         Request.field("X-Monsoonstand-Expect-Instance");
     if (!Expected.empty() && Expected != m_Config.m_Id) {
       if (!Connection.write(
-              httpResponse(421, "X-Monsoonstand-Not-Executed: 1\r\n", "")))
+              httpResponse(421,
+                           "X-Monsoonstand-Request-Id: " +
+                               Request.field("X-Monsoonstand-Request-Id") +
+                               "\r\nX-Monsoonstand-Not-Executed: 1\r\n"
+                               "X-Monsoonstand-Instance-Id: " +
+                               m_Config.m_Id + "\r\n",
+                           "")))
         return;
       continue;
     }
@@ -782,20 +794,22 @@
   for (std::string &Each : Words)
     Arguments.push_back(Each.data());
   Arguments.push_back(nullptr);
-  posix_spawn_file_actions_t Files;
-  posix_spawn_file_actions_init(&Files);
   const std::string Log = m_Config.m_Folder + "/" + m_Config.m_Name + ".log";
-  posix_spawn_file_actions_addopen(&Files, 1, Log.c_str(),
-                                   O_WRONLY | O_CREAT | O_APPEND, 0644);
-  posix_spawn_file_actions_adddup2(&Files, 1, 2);
-  pid_t Pid = 0;
-  const int Error = posix_spawn(&Pid, Arguments[0], &Files, nullptr,
-                                Arguments.data(), environ);
-  posix_spawn_file_actions_destroy(&Files);
-  if (Error != 0)
+  const pid_t Own = getpid();
+  const pid_t Pid = fork();
+  if (Pid == 0) {
+    // Ends with the thread that started it, however that ends.
+    prctl(PR_SET_PDEATHSIG, SIGKILL);
+    const int Output =
+        open(Log.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    if (getppid() == Own && Output >= 0 && dup2(Output, 1) >= 0 &&
+        dup2(Output, 2) >= 0)
+      execv(Arguments[0], Arguments.data());
+    _exit(127);
+  }
+  if (Pid < 0)
     return false;
   m_Pid = Pid;
-  std::ofstream(m_Config.m_Folder + "/pids", std::ios::app) << Pid << "\n";
   m_Record.line("%s started (limit %d MB)", m_Config.m_Name.c_str(),
                 m_Config.m_MemoryMb);
   if (!m_Watch.joinable())
--- a/review/standin-3/world.h
+++ b/review/standin-3/world.h
@@ -24,6 +24,9 @@
 using Clock = std::chrono::steady_clock;
 using Millis = std::chrono::milliseconds;
 
+/// Ends this process when the script that started it ends, and after the time
+/// that a script may take. Called by the main thread before all else.
+void bindToScript();
 /// Seconds since the start of the script.
 double now();
 void sleepMs(int64_t Length);
