--- a/review/14/case.cpp
+++ b/review/14/case.cpp
@@ -6,6 +6,7 @@
 using namespace world;
 
 int main(int, char **Arguments) {
+  bindToScript();
   const std::string Folder = Arguments[1];
   const bool HasTrouble = std::string(Arguments[2]) != "0";
   Record Out(Arguments[3]);
