Times of the settings are used as given, with their fractions

Each process ended with code 1: "stop_limit_s: found 6.5, allowed is a whole number from 1 to 3600".

Cause: JsonReader knew one kind of figure, whole numbers, and times were read with it: seconds through number(), milliseconds through milliseconds(), which called number(). The settings then kept them in whole milliseconds. The cause is wider: longest_hold_ms, config_apply_ms and revoke_ms, which the platform fills in as well, and all times of the former program's settings and of its tables failed the same way.

Change: the class that decodes figures tells counts from measures. count() is for what is whole by its nature; measure(), nonNegative(), milliseconds() and seconds() take fractions. Times are kept as Duration, so none is rounded to milliseconds.

--- a/src/codec/gatewaysettingscodec.cpp
+++ b/src/codec/gatewaysettingscodec.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-constexpr int64_t MaxMilliseconds = 3'600'000;
+constexpr int64_t MaxSeconds = 3600;
+constexpr int64_t MaxMilliseconds = MaxSeconds * 1000;
 constexpr int MaxPort = 65'535;
 constexpr int64_t MaxLogPartitions = 10'000;
 
@@ -30,18 +31,6 @@
   return Result;
 }
 
-/// Reads an optional number that is not negative.
-double readNonNegative(JsonReader &Outer, const Json::Value &Object,
-                       const std::string &Field, double Default) {
-  if (!Outer.has(Field))
-    return Default;
-  const Json::Value &Value = Object[Field];
-  if (Value.isNumeric() && Value.asDouble() >= 0)
-    return Value.asDouble();
-  Outer.fault(Field, Value.toStyledString(), "a number of at least 0");
-  return Default;
-}
-
 } // namespace
 
 Outcome<GatewaySettings> loadGatewaySettings(const std::string &Path) {
@@ -58,27 +47,23 @@
   Result.m_Metrics = readAddress(Reader, "metrics");
   Result.m_Peers = readAddress(Reader, "peers");
   Result.m_Log = readAddress(Reader, "log");
-  Result.m_LogPartitions = static_cast<uint32_t>(Reader.number(
+  Result.m_LogPartitions = static_cast<uint32_t>(Reader.count(
       "log_partitions", 1, MaxLogPartitions, Result.m_LogPartitions));
-  Result.m_RetryRatio =
-      readNonNegative(Reader, File.value(), "retry_ratio", Result.m_RetryRatio);
-  Result.m_RetrySlack =
-      readNonNegative(Reader, File.value(), "retry_slack", Result.m_RetrySlack);
-  Result.m_LinkMbps =
-      readNonNegative(Reader, File.value(), "link_mbps", Result.m_LinkMbps);
+  Result.m_RetryRatio = Reader.nonNegative("retry_ratio", Result.m_RetryRatio);
+  Result.m_RetrySlack = Reader.nonNegative("retry_slack", Result.m_RetrySlack);
+  Result.m_LinkMbps = Reader.nonNegative("link_mbps", Result.m_LinkMbps);
   Result.m_RetryWindow =
-      std::chrono::seconds(Reader.number("retry_window_s", 1, 3600, 10));
+      Reader.seconds("retry_window_s", 1, MaxSeconds, Result.m_RetryWindow);
   Result.m_LongestHold = Reader.milliseconds(
-      "longest_hold_ms", 100, MaxMilliseconds, Result.m_LongestHold.count());
-  Result.m_ConfigApplyLimit =
-      Reader.milliseconds("config_apply_ms", 100, MaxMilliseconds,
-                          Result.m_ConfigApplyLimit.count());
+      "longest_hold_ms", 100, MaxMilliseconds, Result.m_LongestHold);
+  Result.m_ConfigApplyLimit = Reader.milliseconds(
+      "config_apply_ms", 100, MaxMilliseconds, Result.m_ConfigApplyLimit);
   Result.m_StopLimit =
-      std::chrono::seconds(Reader.number("stop_limit_s", 1, 3600, 6));
+      Reader.seconds("stop_limit_s", 1, MaxSeconds, Result.m_StopLimit);
   Result.m_StrictRevocation =
       Reader.flag("strict_revocation", Result.m_StrictRevocation);
   Result.m_RevocationTimeout = Reader.milliseconds(
-      "revoke_ms", 100, MaxMilliseconds, Result.m_RevocationTimeout.count());
+      "revoke_ms", 100, MaxMilliseconds, Result.m_RevocationTimeout);
   Result.m_LogLevel = Reader.text("log_level", "info");
   Reader.rejectUnknown();
   if (!Faults.empty())
--- a/src/codec/jsonreader.cpp
+++ b/src/codec/jsonreader.cpp
@@ -1,11 +1,14 @@
 #include "codec/jsonreader.h"
 
 #include "codec/jsontext.h"
+#include "core/measure.h"
+#include "core/text.h"
 
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_join.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace monsoon {
 
@@ -15,7 +18,10 @@
 
 /// The value as text for a fault message, truncated if too long.
 std::string quote(const Json::Value &Value) {
-  std::string Text = writeJson(Value);
+  // The writer would show 0.1 as 0.10000000000000001.
+  std::string Text = Value.type() == Json::realValue
+                         ? shortestText(Value.asDouble())
+                         : writeJson(Value);
   if (Text.size() > MaxQuotedLength)
     Text = Text.substr(0, MaxQuotedLength) + "...";
   return Text;
@@ -106,31 +112,66 @@
   return Default;
 }
 
-int64_t JsonReader::number(const std::string &Field, int64_t Low,
-                           int64_t High) {
+int64_t JsonReader::count(const std::string &Field, int64_t Low, int64_t High,
+                          std::optional<int64_t> Default) {
   const std::string Allowed =
       absl::StrCat("a whole number from ", Low, " to ", High);
-  if (!find(Field, true, Allowed))
-    return Low;
-  return number(Field, Low, High, Low);
+  const Json::Value *Value = find(Field, !Default, Allowed);
+  if (!Value)
+    return Default.value_or(Low);
+  // Also true for a whole number that is written with a fraction, as 4.0 is.
+  if (Value->isInt64() && Value->asInt64() >= Low && Value->asInt64() <= High)
+    return Value->asInt64();
+  fault(Field, quote(*Value), Allowed);
+  return Default.value_or(Low);
 }
 
-int64_t JsonReader::number(const std::string &Field, int64_t Low, int64_t High,
-                           int64_t Default) {
-  const Json::Value *Value = find(Field, false, "");
+std::optional<double> JsonReader::findMeasure(const std::string &Field,
+                                              bool Required, double Low,
+                                              double High,
+                                              const std::string &Allowed) {
+  const Json::Value *Value = find(Field, Required, Allowed);
   if (!Value)
-    return Default;
-  if (Value->isInt64() && !Value->isBool() && Value->asInt64() >= Low &&
-      Value->asInt64() <= High)
-    return Value->asInt64();
-  fault(Field, quote(*Value),
-        absl::StrCat("a whole number from ", Low, " to ", High));
-  return Default;
+    return std::nullopt;
+  if (Value->isNumeric() && Value->asDouble() >= Low &&
+      Value->asDouble() <= High)
+    return Value->asDouble();
+  fault(Field, quote(*Value), Allowed);
+  return std::nullopt;
+}
+
+double JsonReader::measure(const std::string &Field, int64_t Low, int64_t High,
+                           std::optional<double> Default) {
+  return findMeasure(Field, !Default, static_cast<double>(Low),
+                     static_cast<double>(High),
+                     absl::StrCat("a number from ", Low, " to ", High))
+      .value_or(Default.value_or(static_cast<double>(Low)));
+}
+
+double JsonReader::nonNegative(const std::string &Field, double Default) {
+  return findMeasure(Field, false, 0, std::numeric_limits<double>::max(),
+                     "a number of at least 0")
+      .value_or(Default);
+}
+
+Duration JsonReader::milliseconds(const std::string &Field, int64_t Low,
+                                  int64_t High,
+                                  std::optional<Duration> Default) {
+  return duration(Field, Milliseconds(1), Low, High, Default);
+}
+
+Duration JsonReader::seconds(const std::string &Field, int64_t Low,
+                             int64_t High, std::optional<Duration> Default) {
+  return duration(Field, std::chrono::seconds(1), Low, High, Default);
 }
 
-Milliseconds JsonReader::milliseconds(const std::string &Field, int64_t Low,
-                                      int64_t High, int64_t Default) {
-  return Milliseconds(number(Field, Low, High, Default));
+Duration JsonReader::duration(const std::string &Field, Duration Unit,
+                              int64_t Low, int64_t High,
+                              std::optional<Duration> Default) {
+  const auto Figure = findMeasure(
+      Field, !Default, static_cast<double>(Low), static_cast<double>(High),
+      absl::StrCat("a number from ", Low, " to ", High));
+  return Figure ? durationOf(*Figure, Unit) : Default.value_or(Low * Unit);
 }
 
 std::vector<Json::Value> JsonReader::objects(const std::string &Field) {
--- a/src/codec/jsonreader.h
+++ b/src/codec/jsonreader.h
@@ -6,6 +6,7 @@
 #include <json/value.h>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +18,9 @@
 /// Reads and validates the fields of one JSON object. Each fault names the
 /// location, the value found and the values allowed. After a fault the default
 /// value is returned, so that one pass finds all faults of a document.
+///
+/// Invariant: a figure is used as given or is a fault; none is rounded to what
+/// its field can hold. Counts and measures are told apart in core/measure.h.
 class JsonReader {
 public:
   /// Where names the object, e.g. `pools.json: pools[2]`.
@@ -31,12 +35,21 @@
   /// An optional array of non-empty strings.
   std::vector<std::string> texts(const std::string &Field);
   bool flag(const std::string &Field, bool Default);
-  /// A required integer from Low to High.
-  int64_t number(const std::string &Field, int64_t Low, int64_t High);
-  int64_t number(const std::string &Field, int64_t Low, int64_t High,
-                 int64_t Default);
-  Milliseconds milliseconds(const std::string &Field, int64_t Low, int64_t High,
-                            int64_t Default);
+  /// A count from Low to High; required if there is no default.
+  int64_t count(const std::string &Field, int64_t Low, int64_t High,
+                std::optional<int64_t> Default = std::nullopt);
+  /// A measure from Low to High; required if there is no default.
+  double measure(const std::string &Field, int64_t Low, int64_t High,
+                 std::optional<double> Default = std::nullopt);
+  /// An optional measure of at least 0.
+  double nonNegative(const std::string &Field, double Default);
+  /// A time stated in milliseconds, from Low to High of them; required if there
+  /// is no default.
+  Duration milliseconds(const std::string &Field, int64_t Low, int64_t High,
+                        std::optional<Duration> Default = std::nullopt);
+  /// The same stated in seconds.
+  Duration seconds(const std::string &Field, int64_t Low, int64_t High,
+                   std::optional<Duration> Default = std::nullopt);
   /// An optional array; a value of another type is a fault. The elements are
   /// not checked.
   std::vector<Json::Value> objects(const std::string &Field);
@@ -55,6 +68,13 @@
   /// The value of a field, or null. A missing field is a fault if Required.
   const Json::Value *find(const std::string &Field, bool Required,
                           const std::string &Allowed);
+  /// A figure of the field that is valid, else nullopt. A missing field is a
+  /// fault if Required.
+  std::optional<double> findMeasure(const std::string &Field, bool Required,
+                                    double Low, double High,
+                                    const std::string &Allowed);
+  Duration duration(const std::string &Field, Duration Unit, int64_t Low,
+                    int64_t High, std::optional<Duration> Default);
 
   const Json::Value &m_Object;
   std::string m_Where;
--- a/src/codec/jsontext.cpp
+++ b/src/codec/jsontext.cpp
@@ -56,6 +56,13 @@
   return parseJson(Text.str(), Path, Kind);
 }
 
+Json::Value encodeMilliseconds(Duration Value) {
+  const auto Whole = std::chrono::duration_cast<Milliseconds>(Value);
+  if (Whole == Value)
+    return Json::Int64(Whole.count());
+  return std::chrono::duration<double, std::milli>(Value).count();
+}
+
 std::string writeJson(const Json::Value &Value) { return write(Value, ""); }
 
 std::string writePrettyJson(const Json::Value &Value) {
--- a/src/codec/jsontext.h
+++ b/src/codec/jsontext.h
@@ -2,6 +2,7 @@
 #define MONSOON_CODEC_JSONTEXT_H
 
 #include "core/outcome.h"
+#include "core/timepoint.h"
 
 #include <json/value.h>
 
@@ -17,6 +18,9 @@
 /// Reads and parses a file. Errors name its path.
 Outcome<Json::Value> parseJsonFile(const std::string &Path, ErrorKind Kind);
 
+/// A time in milliseconds, with a fraction only if it has one.
+Json::Value encodeMilliseconds(Duration Value);
+
 /// Serializes a value in one line.
 std::string writeJson(const Json::Value &Value);
 
--- a/src/codec/settingscodec.cpp
+++ b/src/codec/settingscodec.cpp
@@ -27,16 +27,15 @@
   const Json::Value Value = Outer.object("limits");
   JsonReader Reader(Value, Outer.where("limits"), Faults);
   Result.m_Workers = static_cast<int>(
-      Reader.number("workers", 1, MaxWorkers, Result.m_Workers));
+      Reader.count("workers", 1, MaxWorkers, Result.m_Workers));
   Result.m_Connections = static_cast<int>(
-      Reader.number("connections", 1, MaxConnections, Result.m_Connections));
-  Result.m_BodyBytes = static_cast<size_t>(Reader.number(
+      Reader.count("connections", 1, MaxConnections, Result.m_Connections));
+  Result.m_BodyBytes = static_cast<size_t>(Reader.count(
       "body_bytes", 1, MaxBodyBytes, static_cast<int64_t>(Result.m_BodyBytes)));
-  Result.m_ReceiveTimeout =
-      Reader.milliseconds("receive_timeout_ms", 10, MaxMilliseconds,
-                          Result.m_ReceiveTimeout.count());
+  Result.m_ReceiveTimeout = Reader.milliseconds(
+      "receive_timeout_ms", 10, MaxMilliseconds, Result.m_ReceiveTimeout);
   Result.m_IdleTimeout = Reader.milliseconds(
-      "idle_timeout_ms", 10, MaxMilliseconds, Result.m_IdleTimeout.count());
+      "idle_timeout_ms", 10, MaxMilliseconds, Result.m_IdleTimeout);
   Reader.rejectUnknown();
   return Result;
 }
@@ -61,7 +60,7 @@
   const Json::Value Value = Outer.object(Field);
   JsonReader Reader(Value, Outer.where(Field), Faults);
   Result.m_Host = Reader.text("host", Result.m_Host);
-  Result.m_Port = static_cast<int>(Reader.number("port", 1, 65'535));
+  Result.m_Port = static_cast<int>(Reader.count("port", 1, 65'535));
   Reader.rejectUnknown();
   return Result;
 }
@@ -99,12 +98,12 @@
   Result.m_HostList = readEndpoint(Reader, "host_list", Faults);
   Result.m_Peers = readPeers(Reader, "peers", "address", Faults);
   Result.m_Limits = readLimits(Reader, Faults);
-  Result.m_StopGrace =
-      Reader.milliseconds("stop_grace_ms", 0, MaxMilliseconds, 1000);
-  Result.m_StopLimit =
-      Reader.milliseconds("stop_limit_ms", 1, MaxMilliseconds, 10'000);
+  Result.m_StopGrace = Reader.milliseconds("stop_grace_ms", 0, MaxMilliseconds,
+                                           Result.m_StopGrace);
+  Result.m_StopLimit = Reader.milliseconds("stop_limit_ms", 1, MaxMilliseconds,
+                                           Result.m_StopLimit);
   Result.m_LogPoll =
-      Reader.milliseconds("log_poll_ms", 10, MaxMilliseconds, 200);
+      Reader.milliseconds("log_poll_ms", 10, MaxMilliseconds, Result.m_LogPoll);
   Result.m_LogLevel = readLogLevel(Reader);
   Reader.rejectUnknown();
   if (!Faults.empty())
--- a/src/codec/tablecodec.cpp
+++ b/src/codec/tablecodec.cpp
@@ -77,8 +77,8 @@
   const std::string Tenant = Reader.text("tenant_header", "");
   const bool Idempotent = Reader.flag("idempotent", false);
   const bool Streamed = Reader.flag("streamed", false);
-  const Milliseconds Deadline =
-      Reader.milliseconds("deadline_ms", 1, MaxDeadlineMs, 1000);
+  const Duration Deadline =
+      Reader.milliseconds("deadline_ms", 1, MaxDeadlineMs, Milliseconds(1000));
   Reader.rejectUnknown();
   if (Faults.size() != FaultsBefore || !Path)
     return std::nullopt;
@@ -99,11 +99,11 @@
   Target Result;
   Result.m_Name = Reader.text("name");
   Result.m_Host = Reader.text("host");
-  Result.m_Port = static_cast<int>(Reader.number("port", 1, MaxPort));
+  Result.m_Port = static_cast<int>(Reader.count("port", 1, MaxPort));
   Result.m_FailureDomain = Reader.text("failure_domain");
-  Result.m_Slots = static_cast<int>(Reader.number("slots", 1, MaxSlots, 4));
+  Result.m_Slots = static_cast<int>(Reader.count("slots", 1, MaxSlots, 4));
   Result.m_Connections =
-      static_cast<int>(Reader.number("connections", 1, MaxConnections, 100));
+      static_cast<int>(Reader.count("connections", 1, MaxConnections, 100));
   Reader.rejectUnknown();
   return Result;
 }
@@ -116,11 +116,11 @@
   JsonReader Reader(Value, Outer.where("policy"), Faults);
   const auto Number = [&Reader](const char *Field, int64_t Low, int64_t High,
                                 int Default) {
-    return static_cast<int>(Reader.number(Field, Low, High, Default));
+    return static_cast<int>(Reader.count(Field, Low, High, Default));
   };
   Result.m_ColdLimit = Number("cold_limit", 1, MaxSlots, Result.m_ColdLimit);
   Result.m_WarmStep = Reader.milliseconds("warm_step_ms", 10, MaxDeadlineMs,
-                                          Result.m_WarmStep.count());
+                                          Result.m_WarmStep);
   Result.m_RetryPercent =
       Number("retry_percent", 0, 100, Result.m_RetryPercent);
   Result.m_QueuePerSlot =
@@ -138,7 +138,7 @@
   Builder.ownedByKey(Reader.flag("owned_by_key", false));
   Builder.checksFences(Reader.flag("checks_fences", true));
   Builder.ranges(
-      static_cast<uint32_t>(Reader.number("ranges", 1, MaxRanges, 64)));
+      static_cast<uint32_t>(Reader.count("ranges", 1, MaxRanges, 64)));
   Builder.domainsOut(Reader.texts("failure_domains_out"));
   Builder.policy(decodePolicy(Reader, Faults));
   size_t Index = 0;
@@ -170,7 +170,7 @@
   Result["tenant_header"] = Value.tenantHeader();
   Result["idempotent"] = Value.isIdempotent();
   Result["streamed"] = Value.isStreamed();
-  Result["deadline_ms"] = Json::Int64(Value.deadline().count());
+  Result["deadline_ms"] = encodeMilliseconds(Value.deadline());
   Result["pool"] = Value.pool();
   return Result;
 }
@@ -184,7 +184,7 @@
   Result["failure_domains_out"] = encodeNames(Value.domainsOut());
   Json::Value &Policy = Result["policy"];
   Policy["cold_limit"] = Value.policy().m_ColdLimit;
-  Policy["warm_step_ms"] = Json::Int64(Value.policy().m_WarmStep.count());
+  Policy["warm_step_ms"] = encodeMilliseconds(Value.policy().m_WarmStep);
   Policy["retry_percent"] = Value.policy().m_RetryPercent;
   Policy["queue_per_slot"] = Value.policy().m_QueuePerSlot;
   Policy["hedge_percent"] = Value.policy().m_HedgePercent;
--- a/src/concurrency/periodictask.cpp
+++ b/src/concurrency/periodictask.cpp
@@ -6,7 +6,7 @@
 
 namespace monsoon {
 
-PeriodicTask::PeriodicTask(Milliseconds Pause, std::function<void()> Task)
+PeriodicTask::PeriodicTask(Duration Pause, std::function<void()> Task)
     : m_Pause(Pause), m_Task(std::move(Task)), m_Thread([this] { run(); }) {}
 
 PeriodicTask::~PeriodicTask() { stop(); }
--- a/src/concurrency/periodictask.h
+++ b/src/concurrency/periodictask.h
@@ -14,7 +14,7 @@
 /// of one run to the start of the next.
 class PeriodicTask {
 public:
-  PeriodicTask(Milliseconds Pause, std::function<void()> Task);
+  PeriodicTask(Duration Pause, std::function<void()> Task);
   ~PeriodicTask();
   PeriodicTask(const PeriodicTask &) = delete;
   PeriodicTask &operator=(const PeriodicTask &) = delete;
@@ -29,7 +29,7 @@
 private:
   void run();
 
-  const Milliseconds m_Pause;
+  const Duration m_Pause;
   const std::function<void()> m_Task;
   absl::Mutex m_Mutex;
   bool m_Stopping ABSL_GUARDED_BY(m_Mutex) = false;
--- a/src/core/gatewaysettings.h
+++ b/src/core/gatewaysettings.h
@@ -24,19 +24,19 @@
   double m_RetrySlack = 10;
   /// Capacity of this host's network link in Mbit/s; 0 if unknown.
   double m_LinkMbps = 0;
-  Milliseconds m_RetryWindow{10'000};
+  Duration m_RetryWindow = Milliseconds(10'000);
   /// Longest hold time of a grant of keys that a target accepts.
-  Milliseconds m_LongestHold{10'000};
+  Duration m_LongestHold = Milliseconds(10'000);
   /// Time after its acknowledgement by the log in which a version of the
   /// configuration has to be in force on all hosts.
-  Milliseconds m_ConfigApplyLimit{2000};
+  Duration m_ConfigApplyLimit = Milliseconds(2000);
   /// Time from a stop signal to the exit of the process.
-  Milliseconds m_StopLimit{6000};
+  Duration m_StopLimit = Milliseconds(6000);
   /// True if requests that need a customer's key are refused once the
   /// configuration has not been confirmed for m_RevocationTimeout, since the
   /// key may have been revoked.
   bool m_StrictRevocation = false;
-  Milliseconds m_RevocationTimeout{5000};
+  Duration m_RevocationTimeout = Milliseconds(5000);
   std::string m_LogLevel = "info";
 };
 
--- a/src/core/settings.h
+++ b/src/core/settings.h
@@ -37,9 +37,9 @@
   /// Largest request body, in bytes.
   size_t m_BodyBytes = 1 << 20;
   /// Time for a complete request to arrive, from its first byte.
-  Milliseconds m_ReceiveTimeout{5000};
+  Duration m_ReceiveTimeout = Milliseconds(5000);
   /// Time after which an idle connection is closed.
-  Milliseconds m_IdleTimeout{60000};
+  Duration m_IdleTimeout = Milliseconds(60000);
 };
 
 /// Settings of one entry host.
@@ -54,11 +54,11 @@
   std::vector<PeerSettings> m_Peers;
   CallerLimits m_Limits;
   /// Time for which a graceful stop still accepts requests.
-  Milliseconds m_StopGrace{1000};
+  Duration m_StopGrace = Milliseconds(1000);
   /// Time after which a graceful stop aborts the requests that still run.
-  Milliseconds m_StopLimit{10000};
+  Duration m_StopLimit = Milliseconds(10000);
   /// Interval between two reads of the log.
-  Milliseconds m_LogPoll{200};
+  Duration m_LogPoll = Milliseconds(200);
   std::string m_LogLevel = "info";
 };
 
--- a/src/core/tables.cpp
+++ b/src/core/tables.cpp
@@ -80,7 +80,7 @@
   return *this;
 }
 
-Route::Builder &Route::Builder::deadline(Milliseconds Value) {
+Route::Builder &Route::Builder::deadline(Duration Value) {
   m_Route.m_Deadline = Value;
   return *this;
 }
@@ -100,7 +100,7 @@
   return *this;
 }
 
-Route::Builder &Route::Builder::latencyObjective(Milliseconds Value) {
+Route::Builder &Route::Builder::latencyObjective(Duration Value) {
   m_Route.m_LatencyObjective = Value;
   return *this;
 }
--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -61,7 +61,7 @@
   bool isIdempotent() const { return m_Idempotent; }
   /// True when responses are streamed to the caller instead of buffered.
   bool isStreamed() const { return m_Streamed; }
-  Milliseconds deadline() const { return m_Deadline; }
+  Duration deadline() const { return m_Deadline; }
   const std::string &pool() const { return m_Pool; }
   /// Host that requests have to name; empty when any host matches.
   const std::string &host() const { return m_Host; }
@@ -70,7 +70,7 @@
   /// Number of targets to which one request may be sent, including the first.
   int maxAttempts() const { return m_MaxAttempts; }
   /// Time within which a response has its full value for the caller.
-  Milliseconds latencyObjective() const { return m_LatencyObjective; }
+  Duration latencyObjective() const { return m_LatencyObjective; }
   /// Priority under overload; 0 is the highest and served first.
   int priority() const { return m_Priority; }
   /// True if requests need no customer's key.
@@ -100,12 +100,12 @@
   std::string m_TenantHeader;
   bool m_Idempotent = false;
   bool m_Streamed = false;
-  Milliseconds m_Deadline{1000};
+  Duration m_Deadline = Milliseconds(1000);
   std::string m_Pool;
   std::string m_Host;
   std::vector<PoolWeight> m_Split;
   int m_MaxAttempts = 2;
-  Milliseconds m_LatencyObjective{1000};
+  Duration m_LatencyObjective = Milliseconds(1000);
   int m_Priority = 0;
   bool m_Public = false;
 };
@@ -120,11 +120,11 @@
   Builder &tenantHeader(std::string Value);
   Builder &idempotent(bool Value);
   Builder &streamed(bool Value);
-  Builder &deadline(Milliseconds Value);
+  Builder &deadline(Duration Value);
   Builder &host(std::string Value);
   Builder &split(std::vector<PoolWeight> Value);
   Builder &maxAttempts(int Value);
-  Builder &latencyObjective(Milliseconds Value);
+  Builder &latencyObjective(Duration Value);
   Builder &priority(int Value);
   Builder &isPublic(bool Value);
   Route build() const { return m_Route; }
@@ -159,7 +159,7 @@
   /// started.
   int m_ColdLimit = 1;
   /// Time of trouble-free service after which this limit doubles.
-  Milliseconds m_WarmStep{500};
+  Duration m_WarmStep = Milliseconds(500);
   /// Retries allowed, in percent of first attempts.
   int m_RetryPercent = 10;
   /// Requests in flight per slot at which a target counts as full.
--- a/src/core/text.h
+++ b/src/core/text.h
@@ -3,6 +3,7 @@
 
 #include "absl/strings/string_view.h"
 
+#include <string>
 #include <string_view>
 
 namespace monsoon {
@@ -17,6 +18,9 @@
   return {Text.data(), Text.size()};
 }
 
+/// The shortest text from which the same number is read.
+std::string shortestText(double Value);
+
 /// Compares two ASCII strings case-insensitively.
 bool equalsIgnoreCase(std::string_view A, std::string_view B);
 
--- a/src/engine/requestpath.cpp
+++ b/src/engine/requestpath.cpp
@@ -21,12 +21,12 @@
 }
 
 /// The shorter of the caller's limit (X-Deadline-Ms) and that of the route.
-Milliseconds deadlineOf(const Route &Matched, const CallerRequest &Request) {
+Duration deadlineOf(const Route &Matched, const CallerRequest &Request) {
   const std::string *Value = findHeader(Request.m_Headers, "X-Deadline-Ms");
   int64_t Wanted = 0;
   if (!Value || !absl::SimpleAtoi(*Value, &Wanted) || Wanted < 0)
     return Matched.deadline();
-  return std::min(Matched.deadline(), Milliseconds(Wanted));
+  return std::min<Duration>(Matched.deadline(), Milliseconds(Wanted));
 }
 
 /// Counts a request against the admission limits while it is in flight.
--- a/src/entry/exchange.cpp
+++ b/src/entry/exchange.cpp
@@ -13,9 +13,9 @@
 
 TimePoint deadlineOf(TimePoint Now, const RequestMetadata &Facts,
                      const Route &MatchedRoute) {
-  Milliseconds Length = MatchedRoute.deadline();
+  Duration Length = MatchedRoute.deadline();
   if (Facts.m_TimeLeft)
-    Length = std::min(Length, *Facts.m_TimeLeft - AnswerMargin);
+    Length = std::min<Duration>(Length, *Facts.m_TimeLeft - AnswerMargin);
   return Now + Length;
 }
 
--- a/src/http/connectionparker.cpp
+++ b/src/http/connectionparker.cpp
@@ -15,7 +15,7 @@
 
 } // namespace
 
-ConnectionParker::ConnectionParker(Milliseconds IdleTimeout, Wake OnReadable)
+ConnectionParker::ConnectionParker(Duration IdleTimeout, Wake OnReadable)
     : m_IdleTimeout(IdleTimeout), m_OnReadable(std::move(OnReadable)),
       m_Epoll(::epoll_create1(EPOLL_CLOEXEC)), m_Thread([this] { run(); }) {}
 
--- a/src/http/connectionparker.h
+++ b/src/http/connectionparker.h
@@ -21,7 +21,7 @@
   using Wake = std::function<void(std::unique_ptr<ServerConnection>)>;
 
   /// OnReadable is called on the parker's own thread and must not block.
-  ConnectionParker(Milliseconds IdleTimeout, Wake OnReadable);
+  ConnectionParker(Duration IdleTimeout, Wake OnReadable);
   ~ConnectionParker();
   ConnectionParker(const ConnectionParker &) = delete;
   ConnectionParker &operator=(const ConnectionParker &) = delete;
@@ -38,7 +38,7 @@
   void closeIdle();
   std::unique_ptr<ServerConnection> take(int Socket);
 
-  const Milliseconds m_IdleTimeout;
+  const Duration m_IdleTimeout;
   const Wake m_OnReadable;
   const int m_Epoll;
   mutable absl::Mutex m_Mutex;
--- a/src/keyowner/keytablecodec.cpp
+++ b/src/keyowner/keytablecodec.cpp
@@ -35,7 +35,7 @@
   JsonReader Reader(Value.value(), "lease", Faults);
   OwnerLease Result;
   Result.m_Holder = Reader.text("holder");
-  Result.m_Term = static_cast<uint64_t>(Reader.number("term", 0, MaxCount));
+  Result.m_Term = static_cast<uint64_t>(Reader.count("term", 0, MaxCount));
   if (!Faults.empty())
     return unreadable(Faults);
   return Result;
@@ -65,19 +65,19 @@
   JsonReader Reader(Value.value(), "key table", Faults);
   KeyTable::Builder Result;
   Result.nextFence(
-      static_cast<uint64_t>(Reader.number("next_fence", 1, MaxCount)));
+      static_cast<uint64_t>(Reader.count("next_fence", 1, MaxCount)));
   int64_t NextKey = 0;
   for (const Json::Value &Row : Reader.objects("ranges")) {
     JsonReader Range(Row, "key table: range", Faults);
     OwnedRange Each;
     // Keys have to ascend, which excludes overlapping ranges.
     Each.m_Keys.m_First =
-        static_cast<uint32_t>(Range.number("first", NextKey, KeyCount - 1));
+        static_cast<uint32_t>(Range.count("first", NextKey, KeyCount - 1));
     Each.m_Keys.m_Last = static_cast<uint32_t>(
-        Range.number("last", Each.m_Keys.m_First, KeyCount - 1));
+        Range.count("last", Each.m_Keys.m_First, KeyCount - 1));
     Each.m_Owner = Range.text("owner");
-    Each.m_Incarnation = Range.number("life", 0, MaxCount);
-    Each.m_Fence = static_cast<uint64_t>(Range.number("fence", 1, MaxCount));
+    Each.m_Incarnation = Range.count("life", 0, MaxCount);
+    Each.m_Fence = static_cast<uint64_t>(Range.count("fence", 1, MaxCount));
     NextKey = int64_t(Each.m_Keys.m_Last) + 1;
     Result.addRecorded(std::move(Each));
   }
--- a/src/keyowner/rangeassigner.cpp
+++ b/src/keyowner/rangeassigner.cpp
@@ -550,8 +550,8 @@
   });
 }
 
-Milliseconds RangeAssigner::maxHoldDuration(Milliseconds Hold) {
-  return std::chrono::duration_cast<Milliseconds>(Hold * ClockDriftFactor) +
+Duration RangeAssigner::maxHoldDuration(Duration Hold) {
+  return std::chrono::duration_cast<Duration>(Hold * ClockDriftFactor) +
          HoldMargin;
 }
 
@@ -836,7 +836,7 @@
 }
 
 void RangeAssigner::handleGrantResult(uint64_t Fence, uint64_t Term,
-                                      TimePoint Sent, Milliseconds Hold,
+                                      TimePoint Sent, Duration Hold,
                                       GrantCallResult Result) {
   const auto Found = m_Grants.find(Fence);
   if (Found == m_Grants.end())
--- a/src/keyowner/rangeassigner.h
+++ b/src/keyowner/rangeassigner.h
@@ -35,7 +35,7 @@
   Milliseconds m_GrantRenewal{700};
   /// Longest hold time that targets accept. Granted while the log does not
   /// answer, so that owners outlast its outage.
-  Milliseconds m_LongestHold{10'000};
+  Duration m_LongestHold = Milliseconds(10'000);
   /// How long the set of usable targets of a new pool has to stay unchanged
   /// before its first keys are assigned.
   Milliseconds m_Settling{1000};
@@ -323,7 +323,7 @@
   void renewGrants(TimePoint Now);
   void sendGrant(const OwnedRange &Range, const TargetInfo &To, TimePoint Now);
   void handleGrantResult(uint64_t Fence, uint64_t Term, TimePoint Sent,
-                         Milliseconds Hold, GrantCallResult Result);
+                         Duration Hold, GrantCallResult Result);
   /// Returns the owner, or null if the incarnation that the keys were assigned
   /// to is not known.
   const TargetInfo *findOwner(const OwnedRange &Range) const;
@@ -331,7 +331,7 @@
   bool isReleasing(uint64_t Fence) const;
   bool hasLease(TimePoint Now) const;
   /// Returns the longest time on this host's clock that a hold may last.
-  static Milliseconds maxHoldDuration(Milliseconds Hold);
+  static Duration maxHoldDuration(Duration Hold);
   void log(Severity Level, const char *Name, EventSink::Details Fields);
 
   const std::string m_Host;
--- a/src/ports/grantchannel.h
+++ b/src/ports/grantchannel.h
@@ -32,7 +32,7 @@
   /// Fencing token: a target rejects grants with a lower one than it has seen.
   uint64_t m_Fence = 0;
   /// Hold time, counted from the arrival of the grant at the target.
-  Milliseconds m_Hold{0};
+  Duration m_Hold = Milliseconds(0);
   /// Handover text that the previous owner returned with its release; empty if
   /// there is none.
   std::string m_Handover;
--- a/tests/codec/settingstest.cpp
+++ b/tests/codec/settingstest.cpp
@@ -3,6 +3,9 @@
 
 #include <doctest.h>
 
+#include <fstream>
+#include <iterator>
+
 using namespace monsoon;
 
 namespace {
@@ -58,3 +61,21 @@
   CHECK(mentions(faultsOf(std::string(100, '[')), "stackLimit"));
   CHECK_FALSE(loadSettings("/nonexistent/settings.json"));
 }
+
+TEST_SUITE("fractions") {
+  // Guards against hosts of the former program that didn't start with a time in
+  // fractions of a millisecond.
+  TEST_CASE("times of the former program's settings are used as given") {
+    std::ifstream Example(std::string(MONSOON_EXAMPLES) +
+                          "/karadere/entry-1.json");
+    const std::string Text{std::istreambuf_iterator<char>(Example), {}};
+    const size_t Start = Text.find('{');
+    REQUIRE(Start != std::string::npos);
+    const TempFile File("{\"stop_limit_ms\": 6500.5, \"log_poll_ms\": 99.5," +
+                        Text.substr(Start + 1));
+    const auto Loaded = loadSettings(File.path());
+    REQUIRE(Loaded);
+    CHECK(Loaded.value().m_StopLimit == std::chrono::microseconds(6'500'500));
+    CHECK(Loaded.value().m_LogPoll == std::chrono::microseconds(99'500));
+  }
+}
--- a/tests/codec/tablecodectest.cpp
+++ b/tests/codec/tablecodectest.cpp
@@ -69,3 +69,32 @@
                R"({"pools": []})"),
       "route \"r\": pool \"p\" does not exist in table \"pools\""));
 }
+
+TEST_SUITE("fractions") {
+  // Guards against tables that were refused for a time with a fraction.
+  TEST_CASE("measures of the tables are used as given, also after encoding") {
+    const TempFile Routes(R"({"routes": [{"name": "r", "path": "/x",
+        "methods": ["GET"], "pool": "p", "class": "lookup",
+        "deadline_ms": 1200.1}]})");
+    const TempFile Pools(R"({"pools": [{"name": "p", "policy": {
+        "warm_step_ms": 62.5}, "targets": [{"name": "t", "host": "h",
+        "port": 1, "failure_domain": "d"}]}]})");
+    const auto Loaded = loadTables(Routes.path(), Pools.path());
+    REQUIRE_MESSAGE(Loaded, Loaded.error().m_Message);
+    CHECK(Loaded.value().findRoute("r")->deadline() ==
+          std::chrono::microseconds(1'200'100));
+    const PoolPolicy &Policy = Loaded.value().findPool("p")->policy();
+    CHECK(Policy.m_WarmStep == std::chrono::microseconds(62'500));
+    const Json::Value Encoded = encodeTables(Loaded.value());
+    const auto Text =
+        parseJson(writeJson(Encoded), "encoded", ErrorKind::TableInvalid);
+    CHECK(decodeTables(Text.value(), "encoded").value() == Loaded.value());
+  }
+
+  TEST_CASE("counts of the tables take no fraction") {
+    CHECK(mentions(faultsOf(R"({"routes": []})",
+                            R"({"pools": [{"name": "p", "policy":
+                                {"cold_limit": 1.5}}]})"),
+                   "cold_limit: found 1.5, allowed is a whole number from 1"));
+  }
+}
