Percentages and queue lengths of pools take fractions

What operators saw: a table with retry_percent, hedge_percent or queue_per_slot in fractions was refused as a whole, although 2.5 % of retries is a sensible policy.

A target counts as full at the whole number of requests below slots times queue_per_slot, since requests in flight are counted; the budget of retries adds up fractions of a retry as it did percents.

--- a/src/codec/tablecodec.cpp
+++ b/src/codec/tablecodec.cpp
@@ -114,19 +114,16 @@
     return Result;
   const Json::Value Value = Outer.object("policy");
   JsonReader Reader(Value, Outer.where("policy"), Faults);
-  const auto Number = [&Reader](const char *Field, int64_t Low, int64_t High,
-                                int Default) {
-    return static_cast<int>(Reader.count(Field, Low, High, Default));
-  };
-  Result.m_ColdLimit = Number("cold_limit", 1, MaxSlots, Result.m_ColdLimit);
-  Result.m_WarmStep = Reader.milliseconds("warm_step_ms", 10, MaxDeadlineMs,
-                                          Result.m_WarmStep);
+  Result.m_ColdLimit = static_cast<int>(
+      Reader.count("cold_limit", 1, MaxSlots, Result.m_ColdLimit));
+  Result.m_WarmStep =
+      Reader.milliseconds("warm_step_ms", 10, MaxDeadlineMs, Result.m_WarmStep);
   Result.m_RetryPercent =
-      Number("retry_percent", 0, 100, Result.m_RetryPercent);
+      Reader.measure("retry_percent", 0, 100, Result.m_RetryPercent);
   Result.m_QueuePerSlot =
-      Number("queue_per_slot", 1, 100, Result.m_QueuePerSlot);
+      Reader.measure("queue_per_slot", 1, 100, Result.m_QueuePerSlot);
   Result.m_HedgePercent =
-      Number("hedge_percent", 0, 100, Result.m_HedgePercent);
+      Reader.measure("hedge_percent", 0, 100, Result.m_HedgePercent);
   Reader.rejectUnknown();
   return Result;
 }
--- a/src/core/retrybudget.h
+++ b/src/core/retrybudget.h
@@ -13,15 +13,15 @@
   /// Maximum number of extra attempts that can accumulate.
   static constexpr int MaxSaved = 10;
 
-  explicit RetryBudget(int Percent) : m_Percent(Percent) {}
+  explicit RetryBudget(double Percent) : m_Percent(Percent) {}
 
-  void setPercent(int Percent) { m_Percent = Percent; }
+  void setPercent(double Percent) { m_Percent = Percent; }
 
   /// Records a first attempt, which adds m_Percent hundredths of an extra
   /// attempt.
   void earn() {
-    const int Saved = m_Hundredths.load(std::memory_order_relaxed);
-    m_Hundredths.store(std::min(Saved + m_Percent, MaxSaved * 100),
+    const double Saved = m_Hundredths.load(std::memory_order_relaxed);
+    m_Hundredths.store(std::min(Saved + m_Percent, MaxSaved * 100.0),
                        std::memory_order_relaxed);
   }
 
@@ -32,7 +32,7 @@
 
   /// Takes one extra attempt; returns false when the budget is exhausted.
   bool spend() {
-    int Saved = m_Hundredths.load();
+    double Saved = m_Hundredths.load();
     while (Saved >= 100)
       if (m_Hundredths.compare_exchange_weak(Saved, Saved - 100))
         return true;
@@ -40,8 +40,8 @@
   }
 
 private:
-  std::atomic<int> m_Percent;
-  std::atomic<int> m_Hundredths{MaxSaved * 100};
+  std::atomic<double> m_Percent;
+  std::atomic<double> m_Hundredths{MaxSaved * 100};
 };
 
 } // namespace monsoon
--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -161,11 +161,11 @@
   /// Time of trouble-free service after which this limit doubles.
   Duration m_WarmStep = Milliseconds(500);
   /// Retries allowed, in percent of first attempts.
-  int m_RetryPercent = 10;
+  double m_RetryPercent = 10;
   /// Requests in flight per slot at which a target counts as full.
-  int m_QueuePerSlot = 2;
+  double m_QueuePerSlot = 2;
   /// Hedged attempts allowed, in percent of idempotent requests.
-  int m_HedgePercent = 0;
+  double m_HedgePercent = 0;
   /// Requests per second that a cold target can handle, from all entry hosts
   /// together; 0 when the pool does not define it.
   double m_WarmupRate = 0;
--- a/src/core/targetbalancer.cpp
+++ b/src/core/targetbalancer.cpp
@@ -89,7 +89,8 @@
 }
 
 int TargetBalancer::fullLimit(const TargetEntry &Entry) const {
-  return Entry.m_Target.m_Slots * m_Pool.policy().m_QueuePerSlot;
+  return static_cast<int>(
+      std::floor(Entry.m_Target.m_Slots * m_Pool.policy().m_QueuePerSlot));
 }
 
 bool TargetBalancer::isWarm(const TargetEntry &Entry) const {
--- a/tests/codec/tablecodectest.cpp
+++ b/tests/codec/tablecodectest.cpp
@@ -71,13 +71,15 @@
 }
 
 TEST_SUITE("fractions") {
-  // Guards against tables that were refused for a time with a fraction.
+  // Guards against tables that were refused for a time or a percentage with a
+  // fraction.
   TEST_CASE("measures of the tables are used as given, also after encoding") {
     const TempFile Routes(R"({"routes": [{"name": "r", "path": "/x",
         "methods": ["GET"], "pool": "p", "class": "lookup",
         "deadline_ms": 1200.1}]})");
     const TempFile Pools(R"({"pools": [{"name": "p", "policy": {
-        "warm_step_ms": 62.5}, "targets": [{"name": "t", "host": "h",
+        "warm_step_ms": 62.5, "retry_percent": 2.5, "hedge_percent": 0.5,
+        "queue_per_slot": 1.5}, "targets": [{"name": "t", "host": "h",
         "port": 1, "failure_domain": "d"}]}]})");
     const auto Loaded = loadTables(Routes.path(), Pools.path());
     REQUIRE_MESSAGE(Loaded, Loaded.error().m_Message);
@@ -85,6 +87,9 @@
           std::chrono::microseconds(1'200'100));
     const PoolPolicy &Policy = Loaded.value().findPool("p")->policy();
     CHECK(Policy.m_WarmStep == std::chrono::microseconds(62'500));
+    CHECK(Policy.m_RetryPercent == 2.5);
+    CHECK(Policy.m_HedgePercent == 0.5);
+    CHECK(Policy.m_QueuePerSlot == 1.5);
     const Json::Value Encoded = encodeTables(Loaded.value());
     const auto Text =
         parseJson(writeJson(Encoded), "encoded", ErrorKind::TableInvalid);
--- a/tests/core/admissiontest.cpp
+++ b/tests/core/admissiontest.cpp
@@ -43,3 +43,16 @@
   CHECK(Retries <= 1000 / 10 + RetryBudget::MaxSaved);
   CHECK(Retries >= 1000 / 10);
 }
+
+TEST_SUITE("fractions") {
+  TEST_CASE("a percentage of retries with a fraction counts as given") {
+    RetryBudget Budget(2.5);
+    int Retries = 0;
+    for (int Request = 0; Request < 4000; ++Request) {
+      Budget.earn();
+      Retries += Budget.spend() ? 1 : 0;
+    }
+    CHECK(Retries >= 4000 * 25 / 1000);
+    CHECK(Retries <= 4000 * 25 / 1000 + RetryBudget::MaxSaved);
+  }
+}
