A published configuration with fractions is taken as it is

What callers would have seen: a version in which a time-out, a limit's time or a weight has a fraction was refused by every host as a whole, so that all routes stayed as they were, or callers got 503 where it was the first. A latency objective with a fraction was worse off: it was passed over without a word and the time-out taken in its place; a priority of 1.5 became 0, the highest.

What is wrong is refused with the value and what is allowed, which the message didn't say before. Optional figures that are wrong are refused too; null still counts as absent. Weights are kept as numbers with fractions: PROTOCOL.md asks for proportions, and 0.9 to 0.1 is one. The split may skip at least 100 steps at its start, since the sum of small weights says nothing of the length of its cycle.

Places: - mended: header_timeout_ms, idle_timeout_ms, timeout_ms, target_latency_ms, weight; wrong values of target_latency_ms, priority and warmup_per_s. - held already: warmup_per_s, rate_per_s and burst ("measures of a configuration", "customers and public routes are decoded": both checks of these fields pass with the former decoder). - whole by nature: version, max_attempts, max_header_bytes, max_body_bytes (counts) and priority ("its rank, where 0 is the highest").

Evidence: on the code before "measures of a configuration are used as given" and "a wrong figure is named with what is allowed" failed; "weights with fractions" can't be built there, as a weight was an integer.

--- a/src/core/routeindex.h
+++ b/src/core/routeindex.h
@@ -16,9 +16,9 @@
   size_t m_HeaderBytes = 16 << 10;
   size_t m_BodyBytes = 1 << 20;
   /// Time for a complete header to arrive, from its first byte.
-  Milliseconds m_HeaderTimeout{5000};
+  Duration m_HeaderTimeout = Milliseconds(5000);
   /// Time after which an idle connection is closed.
-  Milliseconds m_IdleTimeout{60'000};
+  Duration m_IdleTimeout = Milliseconds(60'000);
 
   friend bool operator==(const RequestLimits &A, const RequestLimits &B) {
     return std::tie(A.m_HeaderBytes, A.m_BodyBytes, A.m_HeaderTimeout,
--- a/src/core/tables.h
+++ b/src/core/tables.h
@@ -39,7 +39,7 @@
 /// Weight of a pool in the traffic split of a route.
 struct PoolWeight {
   std::string m_Pool;
-  uint32_t m_Weight = 0;
+  double m_Weight = 0;
 
   friend bool operator==(const PoolWeight &A, const PoolWeight &B) {
     return std::tie(A.m_Pool, A.m_Weight) == std::tie(B.m_Pool, B.m_Weight);
--- a/src/net/callersession.cpp
+++ b/src/net/callersession.cpp
@@ -412,7 +412,7 @@
 }
 
 void CallerSession::armTimer() {
-  Milliseconds Timeout = m_Limits.m_IdleTimeout;
+  Duration Timeout = m_Limits.m_IdleTimeout;
   if (m_IsClosing && m_Slots.empty() && !m_IsWriting)
     Timeout = CloseTimeout;
   else if (m_Parser && m_Parser->got_some())
--- a/src/policy/weightedsplit.cpp
+++ b/src/policy/weightedsplit.cpp
@@ -1,17 +1,27 @@
 #include "policy/weightedsplit.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace monsoon {
 
+namespace {
+
+/// Small weights, such as fractions, have a longer cycle than their sum.
+constexpr double MinSkippableSteps = 100;
+
+} // namespace
+
 WeightedSplit::WeightedSplit(std::vector<PoolWeight> Parts, uint64_t Start)
     : m_Parts(std::move(Parts)), m_Current(m_Parts.size(), 0) {
   for (const PoolWeight &Each : m_Parts)
     m_TotalWeight += Each.m_Weight;
   if (m_TotalWeight <= 0)
     return;
-  for (uint64_t Step = Start % static_cast<uint64_t>(m_TotalWeight); Step > 0;
-       --Step)
+  const auto SkippableSteps = static_cast<uint64_t>(
+      std::max(MinSkippableSteps, std::ceil(m_TotalWeight)));
+  for (uint64_t Step = Start % SkippableSteps; Step > 0; --Step)
     next();
 }
 
--- a/src/policy/weightedsplit.h
+++ b/src/policy/weightedsplit.h
@@ -12,8 +12,8 @@
 /// as possible (smooth weighted round robin).
 class WeightedSplit {
 public:
-  /// Start is the number of steps to skip, modulo the sum of the weights;
-  /// hosts pass different values so that their first choices differ.
+  /// Start selects the number of steps to skip; hosts pass different values so
+  /// that their first choices differ.
   WeightedSplit(std::vector<PoolWeight> Parts, uint64_t Start);
 
   /// Returns the pool of the next request.
@@ -23,8 +23,8 @@
 private:
   std::vector<PoolWeight> m_Parts;
   /// Current weight of each part.
-  std::vector<int64_t> m_Current;
-  int64_t m_TotalWeight = 0;
+  std::vector<double> m_Current;
+  double m_TotalWeight = 0;
 };
 
 } // namespace monsoon
--- a/tests/platform/publishedtablestest.cpp
+++ b/tests/platform/publishedtablestest.cpp
@@ -109,6 +109,10 @@
     CHECK(North->m_Name == "north");
     CHECK(North->m_Priority == 3);
     CHECK(North->m_Allowance == Allowance{357, 50});
+    CHECK(withTenants(":357", ":357.5")
+              .value()
+              .m_Customers->findByName("north")
+              ->m_Allowance == Allowance{357.5, 50});
     const Customer *South = Decoded.value().m_Customers->findByName("south");
     REQUIRE(South);
     CHECK(!South->m_Priority.has_value());
@@ -147,3 +151,60 @@
     CHECK(!evacuatedDomain("config").has_value());
   }
 }
+
+TEST_SUITE("fractions") {
+  // Guards against a version that no host took, since a time or a weight in it
+  // had a fraction, and against a latency objective that was not used for that.
+  TEST_CASE("measures of a configuration are used as given") {
+    const auto Decoded = decodePublishedTables(absl::StrReplaceAll(
+        ValidConfig, {{":3000", ":3000.5"},
+                      {":15000", ":1.5e4"},
+                      {":1200,", ":1200.25,"},
+                      {":800", ":800.5"},
+                      {"\"weight\":90", "\"weight\":0.9"},
+                      {"\"weight\":10", "\"weight\":0.1"}}));
+    REQUIRE(Decoded.has_value());
+    using std::chrono::microseconds;
+    const RouteIndex &Index = *Decoded.value().m_Routes;
+    CHECK(Index.limits().m_HeaderTimeout == microseconds(3'000'500));
+    CHECK(Index.limits().m_IdleTimeout == Milliseconds(15'000));
+    const Route *Order = Index.match("orders.example", "/order/2f");
+    REQUIRE(Order);
+    CHECK(Order->deadline() == microseconds(1'200'250));
+    CHECK(Order->latencyObjective() == microseconds(800'500));
+    const auto &Split =
+        Index.match("orders.example", "/order/status/9")->split();
+    REQUIRE(Split.size() == 2);
+    CHECK(Split[0].m_Weight == 0.9);
+    CHECK(Split[1].m_Weight == 0.1);
+    CHECK(Index.tables().findPool("ledger")->policy().m_WarmupRate == 5.3);
+  }
+
+  TEST_CASE("a wrong figure is named with what is allowed") {
+    const auto FaultOf = [](const std::string &From, const std::string &To) {
+      const auto Decoded =
+          decodePublishedTables(absl::StrReplaceAll(ValidConfig, {{From, To}}));
+      return Decoded ? std::string() : Decoded.error().m_Message;
+    };
+    CHECK(FaultOf(":1200,", ":0.5,") ==
+          "rule r1: timeout_ms: found 0.5, allowed is a number from 1 to "
+          "3600000");
+    CHECK(FaultOf("\"weight\":90", "\"weight\":-0.5") ==
+          "rule r2: weight: found -0.5, allowed is a number from 0 to 1000000");
+    CHECK(FaultOf(":800", ":\"800\"") ==
+          "rule r1: target_latency_ms: found \"800\", allowed is a number from "
+          "1 to 3600000");
+    CHECK(FaultOf("\"priority\":1", "\"priority\":1.5") ==
+          "rule r1: priority: found 1.5, allowed is a whole number from 0 to "
+          "1000000");
+    CHECK(FaultOf("\"warmup_per_s\":5.3", "\"warmup_per_s\":-5.3") ==
+          "cluster ledger: warmup_per_s: found -5.3, allowed is a number of at "
+          "least 0");
+    CHECK(FaultOf("16384", "16384.5") ==
+          "limits: max_header_bytes: found 16384.5, allowed is a whole number "
+          "from 1 to 1073741824");
+    CHECK(!isAccepted("\"version\":7", "\"version\":7.5"));
+    CHECK(!isAccepted("\"max_attempts\":2", "\"max_attempts\":2.5"));
+    CHECK(!isAccepted("\"weight\":90", "\"weight\":null"));
+  }
+}
--- a/tests/policy/weightedsplittest.cpp
+++ b/tests/policy/weightedsplittest.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest.h>
 
+#include <cstdlib>
 #include <map>
 
 using namespace monsoon;
@@ -33,3 +34,18 @@
   for (int Index = 0; Index < 10; ++Index)
     CHECK(Split.next() == "b");
 }
+
+TEST_SUITE("fractions") {
+  // Guards against configurations that were refused for a weight of 0.9.
+  TEST_CASE("weights with fractions divide the requests as given") {
+    for (const uint64_t Start : {uint64_t{0}, uint64_t{7}, UINT64_MAX}) {
+      WeightedSplit Split({{"a", 0.9}, {"b", 0.075}, {"c", 0.025}}, Start);
+      std::map<std::string, int> Count;
+      for (int Index = 0; Index < 4000; ++Index)
+        ++Count[Split.next()];
+      CHECK(std::abs(Count["a"] - 3600) <= 2);
+      CHECK(std::abs(Count["b"] - 300) <= 2);
+      CHECK(std::abs(Count["c"] - 100) <= 2);
+    }
+  }
+}
