A server whose warm-up time has a fraction is used

What callers would have seen: a server that registers with warmup_remaining_ms 250.5 was taken for none, by every host, until it was warm: its keys stayed with others or without an owner, and the rest of its service bore its load.

The decoder of entries asked for whole numbers in all its figures; a longer time than Duration holds was taken without a check (9e18 ms overflowed later).

--- a/src/core/targetinfo.h
+++ b/src/core/targetinfo.h
@@ -22,7 +22,7 @@
   /// True when it is about to leave and accepts no new work.
   bool m_Draining = false;
   /// Remaining warm-up time when the entry was written.
-  Milliseconds m_WarmupLeft{0};
+  Duration m_WarmupLeft = Milliseconds(0);
   /// Tells apart the incarnations of a target that restarts under the same id.
   int64_t m_Incarnation = 0;
   /// Number of the heartbeat within one incarnation.
--- a/src/entry/targetnode.cpp
+++ b/src/entry/targetnode.cpp
@@ -34,7 +34,7 @@
     m_WarmupUnknownSince.reset();
 }
 
-void TargetNode::setWarmupLeft(TimePoint Now, Milliseconds Left) {
+void TargetNode::setWarmupLeft(TimePoint Now, Duration Left) {
   if (Left.count() > 0)
     m_ColdUntil = std::max(m_ColdUntil, Now + Left);
 }
--- a/src/entry/targetnode.h
+++ b/src/entry/targetnode.h
@@ -35,7 +35,7 @@
     return isWarmupUnknown() || Now < m_ColdUntil;
   }
   /// Extends the cold phase to Left from now; never shortens it.
-  void setWarmupLeft(TimePoint Now, Milliseconds Left);
+  void setWarmupLeft(TimePoint Now, Duration Left);
 
   /// Notes that the target may have become cold since its present entry was
   /// written. It then counts as cold until a newer entry tells, or until
--- a/src/entry/targetregistry.cpp
+++ b/src/entry/targetregistry.cpp
@@ -50,10 +50,13 @@
         std::make_shared<TargetNode>(Info, Now, m_MakeLinkPool(Info.m_Address));
     Node->setLeavingSince(m_Notices.leavingSince(Id, Info.m_Incarnation));
     Node->setRequestLimit(m_Notices.limitOf(Id, Info.m_Incarnation));
-    m_Events.event(Severity::Info, "target_joined",
-                   {{"target", Id},
-                    {"pool", Info.m_Pool},
-                    {"warmup_ms", absl::StrCat(Info.m_WarmupLeft.count())}});
+    m_Events.event(
+        Severity::Info, "target_joined",
+        {{"target", Id},
+         {"pool", Info.m_Pool},
+         {"warmup_ms", absl::StrCat(std::chrono::duration_cast<Milliseconds>(
+                                        Info.m_WarmupLeft)
+                                        .count())}});
   }
   m_Notices.forgetUnknown(
       Now, [this](const std::string &Id) { return m_Nodes.count(Id) > 0; });
--- a/tests/platform/targetentrytest.cpp
+++ b/tests/platform/targetentrytest.cpp
@@ -1,5 +1,7 @@
 #include "platform/targetentry.h"
 
+#include "absl/strings/str_replace.h"
+
 #include <doctest.h>
 
 using namespace monsoon;
@@ -48,3 +50,25 @@
   CHECK(!decodeTargetEntry("i-1", "").has_value());
   CHECK(!decodeTargetEntry("i-1", "[1]").has_value());
 }
+
+TEST_SUITE("fractions") {
+  // Guards against a server that no host used, since its warm-up time had a
+  // fraction.
+  TEST_CASE("the warm-up time of an entry is used as given") {
+    const auto Decode = [](const std::string &From, const std::string &To) {
+      return decodeTargetEntry("i-1",
+                               absl::StrReplaceAll(ValidEntry, {{From, To}}));
+    };
+    const auto Warming = Decode(":250", ":250.5");
+    REQUIRE(Warming.has_value());
+    CHECK(Warming.value().m_WarmupLeft == std::chrono::microseconds(250'500));
+    CHECK(Decode(":250", ":-0.5").error().m_Message ==
+          "entry i-1: warmup_remaining_ms: found -0.5, allowed is a number "
+          "from 0 to 1000000000");
+    CHECK(!Decode(":250", ":\"250\"").has_value());
+    CHECK(!Decode(":250", ":9e18").has_value());
+    CHECK(!Decode("\"slots\":4", "\"slots\":4.5").has_value());
+    CHECK(!Decode("\"sequence\":4", "\"sequence\":4.5").has_value());
+    CHECK(Decode("\"slots\":4", "\"slots\":4.0").value().m_Slots == 4);
+  }
+}
