Times in header fields are used as given, not cut to whole units

What callers saw: a deadline of 1500.75 ms counted as 1500 and a warm-up of 0.5 ms as none (cut to whole milliseconds); an idle timeout of 0.9 s as 0, so that the connection was opened anew for the next request (cut to whole seconds). The former program took no notice of X-Deadline-Ms with a fraction and worked to the route's own, possibly much longer, deadline.

Change: parseDuration() decodes every time that a header field states. A load report names numbers of requests; one with a fraction of a request used to be cut to whole ones and is now ignored like any other malformed one.

Places: - mended: the request's deadline (both programs), the remaining warm-up, the timeout of Keep-Alive (PROTOCOL.md has whole seconds only; used as given now). - held already: the requests per second of Server-Limit ("the lowest limit that a server names counts", 0.5) and the slowdown of a load report ("execution state and load are read from an answer"). - whole by nature: the first three figures of a load report, the key (0 to 65535), status, lengths and sizes of chunks, the epoch of the store. What hosts send on is what is left of a deadline in whole milliseconds, rounded down, so that no target is given more time than the caller has. - Retry-After of servers isn't read at all.

Evidence: "a deadline and a warm-up time are used as given", "a load report with a fraction of a request is ignored", "a peer's idle timeout with a fraction of a second is kept" (2 connections in place of 1) and "a caller's limit with a fraction of a millisecond is kept" failed before.

--- a/src/engine/requestpath.cpp
+++ b/src/engine/requestpath.cpp
@@ -1,5 +1,6 @@
 #include "engine/requestpath.h"
 
+#include "core/measure.h"
 #include "engine/requestrun.h"
 
 #include "absl/strings/str_cat.h"
@@ -23,10 +24,10 @@
 /// The shorter of the caller's limit (X-Deadline-Ms) and that of the route.
 Duration deadlineOf(const Route &Matched, const CallerRequest &Request) {
   const std::string *Value = findHeader(Request.m_Headers, "X-Deadline-Ms");
-  int64_t Wanted = 0;
-  if (!Value || !absl::SimpleAtoi(*Value, &Wanted) || Wanted < 0)
+  if (!Value)
     return Matched.deadline();
-  return std::min<Duration>(Matched.deadline(), Milliseconds(Wanted));
+  const auto Wanted = parseDuration(*Value, Milliseconds(1));
+  return std::min(Matched.deadline(), Wanted.value_or(Matched.deadline()));
 }
 
 /// Counts a request against the admission limits while it is in flight.
--- a/src/net/httplink.cpp
+++ b/src/net/httplink.cpp
@@ -1,9 +1,8 @@
 #include "net/httplink.h"
 
+#include "core/measure.h"
 #include "net/address.h"
 
-#include "absl/strings/numbers.h"
-
 #include <boost/asio/post.hpp>
 
 #include <algorithm>
@@ -38,17 +37,14 @@
 
 /// The timeout in a Keep-Alive field such as "timeout=10, max=5". Empty when
 /// there is none.
-std::optional<Milliseconds> parseKeepAliveTimeout(std::string_view Value) {
+std::optional<Duration> parseKeepAliveTimeout(std::string_view Value) {
   constexpr std::string_view Name = "timeout=";
   const size_t Start = Value.find(Name);
   if (Start == std::string_view::npos)
     return std::nullopt;
-  std::string_view Rest = Value.substr(Start + Name.size());
-  Rest = Rest.substr(0, Rest.find_first_not_of("0123456789"));
-  int Seconds = 0;
-  if (!absl::SimpleAtoi(std::string(Rest), &Seconds))
-    return std::nullopt;
-  return std::chrono::seconds(Seconds);
+  const std::string_view Rest = Value.substr(Start + Name.size());
+  return parseDuration(Rest.substr(0, Rest.find_first_of(",; \t")),
+                       std::chrono::seconds(1));
 }
 
 HttpResponse toResponse(http::response<http::string_body> &&Parsed) {
--- a/src/net/httplink.h
+++ b/src/net/httplink.h
@@ -182,7 +182,7 @@
   bool m_ClosesAfterResponse = false;
   TimePoint m_IdleSince;
   /// Time after which the peer closes an idle connection.
-  Milliseconds m_PeerIdleTimeout;
+  Duration m_PeerIdleTimeout;
 
   std::shared_ptr<const Message> m_Message;
   bool m_IsWriting = false;
--- a/src/ports/dialect.h
+++ b/src/ports/dialect.h
@@ -31,7 +31,7 @@
   /// Id of the request; empty if there is none.
   std::string m_Id;
   /// How long the caller will wait, if the request says so.
-  std::optional<Milliseconds> m_TimeLeft;
+  std::optional<Duration> m_TimeLeft;
   /// The key by which the owner is chosen, if the request has one.
   std::optional<uint32_t> m_Key;
 };
@@ -65,7 +65,7 @@
   /// Load of the target, if reported.
   std::optional<LoadReport> m_Load;
   /// Remaining time of the target's warm-up, if reported.
-  std::optional<Milliseconds> m_WarmupLeft;
+  std::optional<Duration> m_WarmupLeft;
 };
 
 /// The header fields by which callers, entry hosts and targets of one
--- a/tests/engine/requestpathtest.cpp
+++ b/tests/engine/requestpathtest.cpp
@@ -224,3 +224,31 @@
   CHECK(Bench.m_Targets.m_AttemptedTargets ==
         std::vector<std::string>{"ledger2"});
 }
+
+TEST_SUITE("fractions") {
+  // Guards against the former program, which took no notice of a caller's limit
+  // with a fraction.
+  TEST_CASE("a caller's limit with a fraction of a millisecond is kept") {
+    for (const auto &[Text, Limit] :
+         std::vector<std::pair<std::string, Duration>>{
+             {"150.5", std::chrono::microseconds(150'500)},
+             {"-1", Milliseconds(1000)},
+             {"soon", Milliseconds(1000)}}) {
+      RequestPathFixture Bench;
+      const TimePoint Arrival = Bench.m_Time.now();
+      Duration Given{};
+      Bench.m_Targets.m_Script = [&](const Attempt &Order) {
+        Given = Order.m_Deadline - Arrival;
+        return FakeTargetAction::Answer;
+      };
+      CallerRequest Request;
+      Request.m_Method = "POST";
+      Request.m_Uri = Request.m_Path = "/orders";
+      Request.m_RequestId = "a";
+      Request.m_Headers = {{"X-Deadline-Ms", Text}};
+      Request.m_ReceivedAt = Arrival;
+      CHECK(Bench.m_Path.handle(Request, nullptr).m_Status == 200);
+      CHECK(Given == Limit);
+    }
+  }
+}
--- a/tests/net/httplinktest.cpp
+++ b/tests/net/httplinktest.cpp
@@ -344,3 +344,17 @@
     CHECK(Bench.m_Time.now() - Start <= Milliseconds(1500));
   }
 }
+
+TEST_SUITE("fractions") {
+  // Guards against a connection that is given up early, since its idle timeout
+  // was cut to whole seconds.
+  TEST_CASE("a peer's idle timeout with a fraction of a second is kept") {
+    LinkBench Bench;
+    Bench.send("1");
+    Bench.peer().send("HTTP/1.1 200 OK\r\nX-Id: 1\r\nKeep-Alive: "
+                      "timeout=0.9, max=5\r\nContent-Length: 0\r\n\r\n");
+    CHECK(Bench.result() == LinkResult::Answered);
+    Bench.send("2");
+    CHECK(Bench.m_Server.connections() == 1);
+  }
+}
--- a/tests/platform/dialecttest.cpp
+++ b/tests/platform/dialecttest.cpp
@@ -144,3 +144,35 @@
   Answer.m_Fields.add("X-Monsoonstand-Server-Load", "1000000,0,4,100");
   CHECK(PlatformDialect().readAnswer(Answer).m_Load.has_value());
 }
+
+TEST_SUITE("fractions") {
+  // Guards against times that were cut to whole milliseconds.
+  TEST_CASE("a deadline and a warm-up time are used as given") {
+    HttpRequest Request;
+    Request.m_Fields.add("X-Monsoonstand-Request-Deadline", "1500.75");
+    CHECK(PlatformDialect().readRequest(Request).m_TimeLeft ==
+          std::chrono::microseconds(1'500'750));
+    HttpResponse Answer;
+    Answer.m_Fields.add("X-Monsoonstand-Warmup-Remaining", "0.5");
+    CHECK(PlatformDialect().readAnswer(Answer).m_WarmupLeft ==
+          std::chrono::microseconds(500));
+    for (const char *Invalid : {"-0.5", "nan", "inf", "1e10", "", "1,5"}) {
+      CAPTURE(std::string(Invalid));
+      Request.m_Fields = {};
+      Request.m_Fields.add("X-Monsoonstand-Request-Deadline", Invalid);
+      CHECK(!PlatformDialect().readRequest(Request).m_TimeLeft);
+    }
+  }
+
+  // Guards against counts of requests that were cut to whole ones.
+  TEST_CASE("a load report with a fraction of a request is ignored") {
+    const auto Read = [](const char *Value) {
+      HttpResponse Answer;
+      Answer.m_Fields.add("X-Monsoonstand-Server-Load", Value);
+      return PlatformDialect().readAnswer(Answer).m_Load;
+    };
+    CHECK(!Read("3.5,0,4"));
+    CHECK(!Read("3,0,4.5,100"));
+    CHECK(Read("3.0,0,4,112.5") == LoadReport{3, 0, 4, 1.125});
+  }
+}
