Hosts tell each other the capacity of their link as given

What it did: a host with link_mbps 0.75 told the others 0, that is unknown, and one with 13.7 told 13. They choose relays of gossip by it, so a wrong one could be chosen; what that costs is the freshness of gossip.

Cause: link_mbps is read with its fraction, but the id of the host, which carries it to the others, was made with a cast to an integer.

--- a/src/monsoonstand/gateway.cpp
+++ b/src/monsoonstand/gateway.cpp
@@ -6,6 +6,7 @@
 #include "membership/configcurrency.h"
 #include "membership/configrevision.h"
 #include "membership/evacuateddomains.h"
+#include "membership/hostidentity.h"
 #include "membership/loadgossip.h"
 #include "membership/targetdirectory.h"
 #include "monsoonstand/hostmetrics.h"
@@ -23,7 +24,6 @@
 #include "telemetry/eventlog.h"
 #include "telemetry/requestmetrics.h"
 
-#include "absl/strings/numbers.h"
 #include "absl/strings/str_cat.h"
 
 #include <boost/asio/post.hpp>
@@ -41,13 +41,6 @@
 
 namespace {
 
-/// Separates the host's name and incarnation from its link's capacity in its
-/// id.
-constexpr char LinkSeparator = '~';
-/// Separates these from its failure domain.
-constexpr char DomainSeparator = '/';
-/// Separates these from its peer address.
-constexpr char PeerAddressSeparator = '@';
 /// Gossip uses at most this fraction of the host's link, so that reads of the
 /// log and requests have the rest.
 constexpr double GossipLinkFraction = 0.25;
@@ -106,42 +99,28 @@
 /// connection, and the last ones would be cut at the limit.
 constexpr Milliseconds LastConnectionsTime{1000};
 
-/// A new id for this process: the host's name, a random number, so that a
-/// restarted host is not mistaken for its predecessor, the capacity of its
-/// link, its failure domain, and the address at which it receives messages of
-/// peers.
+/// A new id for this process.
 std::string newHostId(const GatewaySettings &Config) {
   std::random_device Source;
-  return absl::StrCat(
-      processName(Config.m_Host,
-                  std::chrono::duration_cast<std::chrono::seconds>(
-                      std::chrono::system_clock::now().time_since_epoch())
-                      .count(),
-                  Source()),
-      std::string(1, LinkSeparator), static_cast<int64_t>(Config.m_LinkMbps),
-      std::string(1, DomainSeparator), Config.m_FailureDomain,
-      std::string(1, PeerAddressSeparator), endpointText(Config.m_Peers));
+  return encodeHostIdentity(
+      {processName(Config.m_Host,
+                   std::chrono::duration_cast<std::chrono::seconds>(
+                       std::chrono::system_clock::now().time_since_epoch())
+                       .count(),
+                   Source()),
+       Config.m_LinkMbps, Config.m_FailureDomain,
+       endpointText(Config.m_Peers)});
 }
 
 /// The link, failure domain and address in a host's id.
-std::optional<GossipPeer> parsePeer(const std::string &HostId) {
-  const size_t AddressAt = HostId.rfind(PeerAddressSeparator);
-  if (AddressAt == std::string::npos)
+std::optional<GossipPeer> parsePeer(const std::string &Text) {
+  const auto Id = decodeHostIdentity(Text);
+  if (!Id)
     return std::nullopt;
-  const auto Address = parseEndpoint(HostId.substr(AddressAt + 1));
+  const auto Address = parseEndpoint(Id->m_PeerAddress);
   if (!Address)
     return std::nullopt;
-  const size_t DomainAt = HostId.find(DomainSeparator);
-  if (DomainAt == std::string::npos || DomainAt > AddressAt)
-    return GossipPeer{*Address, ""};
-  GossipPeer Peer{*Address,
-                  HostId.substr(DomainAt + 1, AddressAt - DomainAt - 1)};
-  const size_t LinkAt = HostId.rfind(LinkSeparator, DomainAt);
-  if (LinkAt != std::string::npos &&
-      !absl::SimpleAtod(HostId.substr(LinkAt + 1, DomainAt - LinkAt - 1),
-                        &Peer.m_LinkMbps))
-    Peer.m_LinkMbps = 0;
-  return Peer;
+  return GossipPeer{*Address, Id->m_FailureDomain, Id->m_LinkMbps};
 }
 
 std::string millisecondsText(Duration Value) {
