An offset of the store with a fraction is refused, not cut

What it did: log-newest with "end" 6.5 was read as an end at 6, and a record's "offset" 0.5 as 0, so that a topic would have been followed from a wrong offset. No platform was seen to send that. Found while looking for figures that are used other than as given.

Cause: these two fields were converted without a look at what they are; the other calls check theirs.

"end" of log-append, "generation" of log-join and the partitions of rows were checked already (isUInt64, isUInt), the epoch is parsed as an integer, and the offsets of log-read come as binary. All of them are whole by nature: they number records. Of the records that hosts write themselves (owners, leases, gossip), the times are written in whole milliseconds by their only encoder.

--- a/tests/platform/storeclienttest.cpp
+++ b/tests/platform/storeclienttest.cpp
@@ -379,3 +379,29 @@
     CHECK(Taken <= Milliseconds(2000));
   }
 }
+
+TEST_SUITE("fractions") {
+  // Guards against offsets that were cut to whole ones.
+  TEST_CASE("an answer of the store with a fraction as offset is refused") {
+    for (const char *Answer :
+         {R"({"items":[],"end":6.5})",
+          R"({"items":[{"key":"k","value":"","offset":0.5}],"end":1})"}) {
+      boost::asio::io_context Loop;
+      const BootTimeClock Time;
+      RawListener Listener(Loop);
+      StoreClient Client(Loop, Time, Listener.address(), 12);
+      std::optional<Outcome<KeyedPage>> Result;
+      Client.readNewest("t",
+                        [&](const Outcome<KeyedPage> &Page) { Result = Page; });
+      REQUIRE(runUntil(Loop, [&Listener]() {
+        return Listener.connections() > 0 &&
+               !Listener.peer(0).received().empty();
+      }));
+      Listener.peer(0).send("HTTP/1.1 200 OK\r\nContent-Length: " +
+                            std::to_string(std::string(Answer).size()) +
+                            "\r\n\r\n" + Answer);
+      REQUIRE(runUntil(Loop, [&Result]() { return Result.has_value(); }));
+      CHECK_FALSE(*Result);
+    }
+  }
+}
