Soak: hosts are told bounds with fractions in every other run

The soak wrote the same whole figures into the settings of each host and into each configuration. Runs with odd seeds now have a stop limit, a window and a hold with half a unit more or less, and time-outs with half a millisecond.

--- a/tests/soak/hostprocess.h
+++ b/tests/soak/hostprocess.h
@@ -11,6 +11,13 @@
 
 namespace monsoon {
 
+/// Bounds of the platform that hosts are told in their settings.
+struct PlatformBounds {
+  double m_RetryWindowSeconds = 10;
+  double m_LongestHoldMs = 10'000;
+  double m_StopLimitSeconds = 6;
+};
+
 /// An entry host that runs as a child process, with a fault proxy between it
 /// and the log store. Signals are sent to this process only.
 class HostProcess {
@@ -19,7 +26,7 @@
   /// the log store's address, which the process reaches through the proxy.
   HostProcess(boost::asio::io_context &Loop, std::string Program,
               std::string Name, std::string Domain, std::string Folder,
-              const Endpoint &Store);
+              const Endpoint &Store, const PlatformBounds &Bounds);
   /// Kills the process if it still runs, and waits for it.
   ~HostProcess();
 
@@ -85,6 +92,7 @@
   const std::string m_Name;
   const std::string m_Domain;
   const std::string m_Folder;
+  const PlatformBounds m_Bounds;
   FaultProxy m_StoreProxy;
   Endpoint m_CallerAddress;
   Endpoint m_ReadinessAddress;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -1,5 +1,7 @@
 #include "soak/soak.h"
 
+#include "core/measure.h"
+
 #include "absl/strings/str_cat.h"
 #include "absl/strings/str_format.h"
 
@@ -51,19 +53,29 @@
 constexpr uint64_t MinHeldMs = 40;
 constexpr uint64_t MaxHeldMs = 450;
 constexpr uint64_t MaxRunMs = 150;
-/// A host has ended its stop this long after the signal (stop_limit_s).
-constexpr Milliseconds StopTime{6000};
+/// Added to the platform's figures in every other run.
+constexpr double Fraction = 0.5;
 /// Until then a process may not have installed its signal handlers.
 constexpr Milliseconds BootTime{1000};
 
+PlatformBounds boundsOf(uint64_t Seed) {
+  PlatformBounds Bounds;
+  if (Seed % 2 == 0)
+    return Bounds;
+  Bounds.m_RetryWindowSeconds += Fraction;
+  Bounds.m_LongestHoldMs -= Fraction;
+  Bounds.m_StopLimitSeconds += Fraction;
+  return Bounds;
+}
+
 std::string domainOf(int Number) { return absl::StrCat("d", Number % Domains); }
 
 } // namespace
 
 Soak::Soak(SoakSettings Config)
-    : m_Settings(std::move(Config)), m_Random(m_Settings.m_Seed),
-      m_Store(m_Loop), m_HostTimer(m_Loop), m_DelayTimer(m_Loop),
-      m_StartedAt(std::chrono::steady_clock::now()) {}
+    : m_Settings(std::move(Config)), m_Bounds(boundsOf(m_Settings.m_Seed)),
+      m_Random(m_Settings.m_Seed), m_Store(m_Loop), m_HostTimer(m_Loop),
+      m_DelayTimer(m_Loop), m_StartedAt(std::chrono::steady_clock::now()) {}
 
 void Soak::logVerbose(const std::string &Text) const {
   if (!m_Settings.m_IsVerbose)
@@ -76,14 +88,15 @@
 
 void Soak::publishConfig() {
   ++m_Version;
+  const double Extra = m_Settings.m_Seed % 2 == 0 ? 0 : Fraction;
   std::string Orders;
   for (int64_t Each = 1; Each <= m_Version; ++Each)
     absl::StrAppendFormat(
         &Orders,
         R"({"name":"orders%d","kind":"unsafe","target_latency_ms":800,)"
         R"("priority":1,"match":{"path_prefix":"/order/v%d/"},)"
-        R"("action":{"service":"orders","timeout_ms":%d,"max_attempts":2}},)",
-        Each, Each, 1200 + m_Version);
+        R"("action":{"service":"orders","timeout_ms":%g,"max_attempts":2}},)",
+        Each, Each, static_cast<double>(1200 + m_Version) + Extra);
   m_PublishedAt[m_Version] = std::chrono::steady_clock::now();
   writeAsOperator(
       ConfigKey,
@@ -181,7 +194,7 @@
   m_Loop.run_for(Length);
 }
 
-void Soak::schedule(Milliseconds Delay, std::function<void()> Action) {
+void Soak::schedule(Duration Delay, std::function<void()> Action) {
   const auto Timer = std::make_shared<boost::asio::steady_timer>(m_Loop);
   Timer->expires_after(Delay);
   Timer->async_wait(
@@ -432,6 +445,7 @@
       });
     At += 300 + randomBelow(700);
   }
+  const Duration StopTime = durationOf(m_Bounds.m_StopLimitSeconds, seconds(1));
   schedule(Milliseconds(At) + StopTime, [this]() {
     logVerbose("overlapping stops end");
     for (const auto &Each : m_Servers)
@@ -566,7 +580,7 @@
   for (int Number = 0; Number < m_Settings.m_Hosts; ++Number) {
     m_Hosts.push_back(std::make_unique<HostProcess>(
         m_Loop, m_Settings.m_Program, absl::StrCat("host", Number),
-        domainOf(Number), m_Settings.m_Folder, Store));
+        domainOf(Number), m_Settings.m_Folder, Store, m_Bounds));
     if (!m_Hosts.back()->start()) {
       m_Checker.addViolation("an entry host can't be started");
       break;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -103,7 +103,7 @@
   void slowDown(HostProcess &Host);
   void performOperatorAction();
   /// Calls Action once after Delay.
-  void schedule(Milliseconds Delay, std::function<void()> Action);
+  void schedule(Duration Delay, std::function<void()> Action);
   /// Stops the injection and ends the faults of hosts, links, servers and the
   /// store. Restarts that are scheduled still take place.
   void clearFaults();
@@ -121,6 +121,7 @@
   void logVerbose(const std::string &Text) const;
 
   const SoakSettings m_Settings;
+  const PlatformBounds m_Bounds;
   std::mt19937_64 m_Random;
   boost::asio::io_context m_Loop{1};
   StoreStandIn m_Store;
