No fault of a configuration quotes what may be a customer's key

What could be seen: since figures of a configuration are refused with the value found, a log line (config_invalid) could hold a customer's key: a configuration that is no object was quoted up to 60 characters, and so was a value that is no figure in the place of a customer's priority, such as the list of keys.

Cause: JsonReader quotes what it refuses, which is right for settings, whose values are no secrets. Found by reading the change again for keys in error texts.

Ruled out: rates, names and lists of customers (reported without a value), rules, pools and limits (no keys there), entries of servers, header fields (not quoted).

--- a/tests/platform/publishedtablestest.cpp
+++ b/tests/platform/publishedtablestest.cpp
@@ -145,6 +145,26 @@
         !isAccepted("\"kind\":\"unsafe\"", "\"kind\":\"unsafe\",\"public\":1"));
   }
 
+  // Guards against faults that show a part of what was published.
+  TEST_CASE("no fault of a configuration shows a customer's key") {
+    std::vector<Outcome<PublishedConfig>> Refused = {
+        decodePublishedTables(R"(["k1-secret"])"),
+        decodePublishedTables(R"("k1-secret")"),
+        decodePublishedTables(R"({"version":7,"tenants":"k1-secret"})")};
+    for (const char *Wrong :
+         {"\"k1-secret\"", "[\"k1-secret\"]", "{\"api_keys\":[\"k1-secret\"]}"})
+      for (const char *Field : {"\"priority\":3", "\"rate_per_s\":357",
+                                "\"burst\":50", "\"name\":\"south\""})
+        Refused.push_back(withTenants(
+            Field, std::string(Field).substr(0, std::string(Field).find(':')) +
+                       ":" + Wrong));
+    for (const auto &Each : Refused)
+      if (!Each)
+        CHECK_MESSAGE(Each.error().m_Message.find("k1-secret") ==
+                          std::string::npos,
+                      Each.error().m_Message);
+  }
+
   TEST_CASE("evacuate keys take a failure domain out of service") {
     CHECK(evacuatedDomain("evacuate/zone-a").value() == "zone-a");
     CHECK(!evacuatedDomain("evacuate/").has_value());
