Tests: queue lengths with a fraction, hold times of grants rounded down

Cause: two of the mended places had no test of what they do. With "warm target takes queue_per_slot times its slots" put back to whole numbers, and with the hold time of a grant rounded up, all tests passed.

Change: a test each in coretest and platformtest (suite fractions); in the soak PlatformBounds is HostTimes and says the field's terms. The product is unchanged.

Conclusion: an owner that would hold its keys longer than the host counts with, and a queue of whole lengths, are noticed now.

--- a/tests/core/targetbalancertest.cpp
+++ b/tests/core/targetbalancertest.cpp
@@ -3,6 +3,7 @@
 
 #include <doctest.h>
 
+#include <map>
 #include <random>
 
 using namespace monsoon;
@@ -269,3 +270,19 @@
     CHECK_MESSAGE(Count >= 80, Name);
   CHECK(Counts.size() == 3);
 }
+
+TEST_SUITE("fractions") {
+  // Guards against a queue length of 1.5 per slot that counts as 1 or 2.
+  TEST_CASE("a warm target takes queue_per_slot times its slots as given") {
+    for (const auto &[PerSlot, Full] :
+         std::map<double, size_t>{{1, 4}, {1.5, 6}, {1.7, 6}, {2, 8}}) {
+      PoolPolicy Policy;
+      Policy.m_QueuePerSlot = PerSlot;
+      const Pool Orders = Pool::Builder("orders")
+                              .policy(Policy)
+                              .addTarget({"t0", "127.0.0.1", 1, "d0", 4, 100})
+                              .build();
+      CHECK(reserveAll(*warmBook(Orders), Start).size() == Full);
+    }
+  }
+}
--- a/tests/platform/grantclienttest.cpp
+++ b/tests/platform/grantclienttest.cpp
@@ -289,3 +289,18 @@
     CHECK(Fixture.m_Listener.connections() == 2);
   }
 }
+
+TEST_SUITE("fractions") {
+  // Guards against an owner that holds its keys longer than the host counts
+  // with.
+  TEST_CASE("the hold time of a grant is sent in whole milliseconds, rounded "
+            "down") {
+    GrantFixture Fixture;
+    Fixture.m_Grant.m_Hold = std::chrono::microseconds(9'999'900);
+    CHECK(Fixture.grant(200) == GrantCallResult::Accepted);
+    const auto Body = parseJson(Fixture.m_Server.m_Requests.at(0).m_Body,
+                                "grant", ErrorKind::RecordUnreadable);
+    REQUIRE(Body);
+    CHECK(Body.value()["hold_ms"] == Json::Int64(9999));
+  }
+}
--- a/tests/soak/hostprocess.cpp
+++ b/tests/soak/hostprocess.cpp
@@ -40,10 +40,10 @@
 HostProcess::HostProcess(asio::io_context &Loop, std::string Program,
                          std::string Name, std::string Domain,
                          std::string Folder, const Endpoint &Store,
-                         const PlatformBounds &Bounds)
+                         const HostTimes &Times)
     : m_Program(std::move(Program)), m_Name(std::move(Name)),
-      m_Domain(std::move(Domain)), m_Folder(std::move(Folder)),
-      m_Bounds(Bounds), m_StoreProxy(Loop, Store),
+      m_Domain(std::move(Domain)), m_Folder(std::move(Folder)), m_Times(Times),
+      m_StoreProxy(Loop, Store),
       m_CallerAddress(findFreeAddress<asio::ip::tcp>(Loop)),
       m_ReadinessAddress(findFreeAddress<asio::ip::tcp>(Loop)),
       m_MetricsAddress(findFreeAddress<asio::ip::tcp>(Loop)),
@@ -66,9 +66,9 @@
        << "\",\"peers\":\"" << endpointText(m_PeerAddress) << "\",\"log\":\""
        << endpointText(m_StoreProxy.address())
        << "\",\"retry_ratio\":0.2,\"retry_slack\":60,\"retry_window_s\":"
-       << m_Bounds.m_RetryWindowSeconds
-       << ",\"longest_hold_ms\":" << m_Bounds.m_LongestHoldMs
-       << ",\"stop_limit_s\":" << m_Bounds.m_StopLimitSeconds << "}\n";
+       << m_Times.m_RetryWindowSeconds
+       << ",\"longest_hold_ms\":" << m_Times.m_LongestHoldMs
+       << ",\"stop_limit_s\":" << m_Times.m_StopLimitSeconds << "}\n";
   return File.good();
 }
 
--- a/tests/soak/hostprocess.h
+++ b/tests/soak/hostprocess.h
@@ -11,8 +11,8 @@
 
 namespace monsoon {
 
-/// Bounds of the platform that hosts are told in their settings.
-struct PlatformBounds {
+/// Times in the settings of all hosts of a run.
+struct HostTimes {
   double m_RetryWindowSeconds = 10;
   double m_LongestHoldMs = 10'000;
   double m_StopLimitSeconds = 6;
@@ -26,7 +26,7 @@
   /// the log store's address, which the process reaches through the proxy.
   HostProcess(boost::asio::io_context &Loop, std::string Program,
               std::string Name, std::string Domain, std::string Folder,
-              const Endpoint &Store, const PlatformBounds &Bounds);
+              const Endpoint &Store, const HostTimes &Times);
   /// Kills the process if it still runs, and waits for it.
   ~HostProcess();
 
@@ -92,7 +92,7 @@
   const std::string m_Name;
   const std::string m_Domain;
   const std::string m_Folder;
-  const PlatformBounds m_Bounds;
+  const HostTimes m_Times;
   FaultProxy m_StoreProxy;
   Endpoint m_CallerAddress;
   Endpoint m_ReadinessAddress;
--- a/tests/soak/soak.cpp
+++ b/tests/soak/soak.cpp
@@ -53,19 +53,19 @@
 constexpr uint64_t MinHeldMs = 40;
 constexpr uint64_t MaxHeldMs = 450;
 constexpr uint64_t MaxRunMs = 150;
-/// Added to the platform's figures in every other run.
+/// Part of a unit that times differ by in every other run.
 constexpr double Fraction = 0.5;
 /// Until then a process may not have installed its signal handlers.
 constexpr Milliseconds BootTime{1000};
 
-PlatformBounds boundsOf(uint64_t Seed) {
-  PlatformBounds Bounds;
+HostTimes timesOf(uint64_t Seed) {
+  HostTimes Times;
   if (Seed % 2 == 0)
-    return Bounds;
-  Bounds.m_RetryWindowSeconds += Fraction;
-  Bounds.m_LongestHoldMs -= Fraction;
-  Bounds.m_StopLimitSeconds += Fraction;
-  return Bounds;
+    return Times;
+  Times.m_RetryWindowSeconds += Fraction;
+  Times.m_LongestHoldMs -= Fraction;
+  Times.m_StopLimitSeconds += Fraction;
+  return Times;
 }
 
 std::string domainOf(int Number) { return absl::StrCat("d", Number % Domains); }
@@ -73,7 +73,7 @@
 } // namespace
 
 Soak::Soak(SoakSettings Config)
-    : m_Settings(std::move(Config)), m_Bounds(boundsOf(m_Settings.m_Seed)),
+    : m_Settings(std::move(Config)), m_Times(timesOf(m_Settings.m_Seed)),
       m_Random(m_Settings.m_Seed), m_Store(m_Loop), m_HostTimer(m_Loop),
       m_DelayTimer(m_Loop), m_StartedAt(std::chrono::steady_clock::now()) {}
 
@@ -445,7 +445,7 @@
       });
     At += 300 + randomBelow(700);
   }
-  const Duration StopTime = durationOf(m_Bounds.m_StopLimitSeconds, seconds(1));
+  const Duration StopTime = durationOf(m_Times.m_StopLimitSeconds, seconds(1));
   schedule(Milliseconds(At) + StopTime, [this]() {
     logVerbose("overlapping stops end");
     for (const auto &Each : m_Servers)
@@ -580,7 +580,7 @@
   for (int Number = 0; Number < m_Settings.m_Hosts; ++Number) {
     m_Hosts.push_back(std::make_unique<HostProcess>(
         m_Loop, m_Settings.m_Program, absl::StrCat("host", Number),
-        domainOf(Number), m_Settings.m_Folder, Store, m_Bounds));
+        domainOf(Number), m_Settings.m_Folder, Store, m_Times));
     if (!m_Hosts.back()->start()) {
       m_Checker.addViolation("an entry host can't be started");
       break;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -121,7 +121,7 @@
   void logVerbose(const std::string &Text) const;
 
   const SoakSettings m_Settings;
-  const PlatformBounds m_Bounds;
+  const HostTimes m_Times;
   std::mt19937_64 m_Random;
   boost::asio::io_context m_Loop{1};
   StoreStandIn m_Store;
